Hear SIGHUP: discovery moves to the new file's address, a bad file changes nothing

Checked: the JVM's default for SIGHUP runs the shutdown hook, which leaves and halts with 0 (Main.leave); nothing in the gateway handled it. Ruled out: discovery itself, which was followed to the end. Now the handler stands before the configuration is read; the file is read again at each SIGHUP; what cannot be used is logged and the old stays. GW_DISCOVERY is as old as the process, so the file goes first.

--- a/src/main/java/opalcove/Main.java
+++ b/src/main/java/opalcove/Main.java
@@ -28,6 +28,7 @@
 import opalcove.plan.Planner;
 import opalcove.platform.Config;
 import opalcove.platform.DiscoveryWatch;
+import opalcove.platform.Hangups;
 import opalcove.platform.RespDialler;
 import opalcove.platform.RespFront;
 import opalcove.sim.Adapter;
@@ -51,7 +52,11 @@
         String command = args.length == 0 ? "" : args[0] + " " + (args.length - 1);
         try {
             switch (command) {
-                case "serve 0" -> serve(Config.read(System.getenv()));
+                case "serve 0" -> {
+                    // Before anything else: unheard, SIGHUP would end the program.
+                    Hangups hangups = new Hangups();
+                    serve(Config.read(System.getenv()), hangups);
+                }
                 case "adapter 0" -> adapt();
                 case "mqtt 1" -> serveMqtt(MqttSettings.read(Path.of(args[1])));
                 case "plan 2" -> plan(MqttSettings.read(Path.of(args[1])), Path.of(args[1]), Path.of(args[2]));
@@ -84,7 +89,7 @@
     }
 
     /** The platform's gateway: RESP2 on both sides, the node list from discovery. */
-    private static void serve(Config config) {
+    private static void serve(Config config, Hangups hangups) {
         Vertx vertx = vertx();
         Phases phases = new Phases();
         CountDownLatch stopped = new CountDownLatch(1);
@@ -99,12 +104,26 @@
                 // An empty list would make every node of discovery's first one look newly started, and cold.
                 gateway.nodesTold(true, config.known());
             }
+            hangups.listen(() -> reload(config, vertx, discovery));
             discovery.start().timeout(FIRST_LIST_MS, TimeUnit.MILLISECONDS).onComplete(listed ->
                     open(phases, front.listen(config.listen())));
         });
         Runtime.getRuntime().addShutdownHook(new Thread(() -> leave(vertx, phases, stopped), "leave"));
     }
 
+    /** The file was replaced: discovery moves at once; a file that cannot be used leaves the old one in force. */
+    private static void reload(Config started, Vertx vertx, DiscoveryWatch discovery) {
+        try {
+            Config config = Config.read(System.getenv());
+            if (!config.settings().equals(started.settings()) || !config.listen().equals(started.listen())) {
+                Logger.warn("new settings or a new address to listen at need a restart: only discovery's is taken over");
+            }
+            vertx.runOnContext(read -> discovery.moveTo(config.discovery()));
+        } catch (BadSettings e) {
+            Logger.error("the new configuration is refused, the old stays in force: {}", e.getMessage());
+        }
+    }
+
     /** The MQTT front by its settings file; its app nodes may be MQTT servers or speak RESP2. */
     private static void serveMqtt(MqttSettings config) {
         Vertx vertx = vertx();
--- a/src/main/java/opalcove/platform/Config.java
+++ b/src/main/java/opalcove/platform/Config.java
@@ -16,7 +16,10 @@
 /** What the platform tells a gateway at its start. */
 public record Config(String name, Endpoint listen, Endpoint discovery, long seed, int sockets,
                      List<AppNode> known, Admission.Settings settings) {
-    /** Reads the file that GW_CONFIG names; the other variables go before what it says. */
+    /**
+     * Reads the file that GW_CONFIG names. The other variables go before what it says, but for discovery: they are as
+     * old as the process, and the file may have been replaced under it.
+     */
     public static Config read(Map<String, String> environment) {
         String file = environment.get("GW_CONFIG");
         if (file == null) {
@@ -33,8 +36,8 @@
 
     private static Config read(Fields f, Map<String, String> environment) {
         Endpoint listen = Endpoint.read(environment.getOrDefault("GW_LISTEN", f.textOr("listen", "")), "listen");
-        Endpoint discovery = Endpoint.read(environment.getOrDefault("GW_DISCOVERY", f.textOr("discovery", "")),
-                "discovery");
+        Endpoint discovery = Endpoint.read(f.has("discovery") ? f.text("discovery")
+                : environment.getOrDefault("GW_DISCOVERY", ""), "discovery");
         int sockets = f.has("limits") ? f.object("limits").wholeOr("sockets", 1024) : 1024;
         return new Config(environment.getOrDefault("GW_NAME", f.textOr("name", "")), listen, discovery, seed(f),
                 sockets, f.has("known") ? NodeLines.read(f.object("known").objects("endpoints")) : List.of(),
--- a/src/main/java/opalcove/platform/DiscoveryWatch.java
+++ b/src/main/java/opalcove/platform/DiscoveryWatch.java
@@ -6,6 +6,7 @@
 import io.vertx.core.buffer.Buffer;
 import io.vertx.core.http.HttpClient;
 import io.vertx.core.http.HttpClientOptions;
+import io.vertx.core.http.HttpClientRequest;
 import io.vertx.core.http.HttpClientResponse;
 import io.vertx.core.http.HttpMethod;
 import io.vertx.core.http.RequestOptions;
@@ -30,18 +31,19 @@
 
     private final Vertx vertx;
     private final HttpClient client;
-    private final String host;
-    private final int port;
     private final Listener listener;
     private final Promise<Void> first = Promise.promise();
+    private Endpoint address;
+    /** How often the address has changed: what began at an earlier one is not heard any more. */
+    private int moves;
+    private HttpClientRequest running;
     private long index = -1;
     private boolean silent;
 
     public DiscoveryWatch(Vertx vertx, Endpoint address, Listener listener) {
         this.vertx = vertx;
         this.listener = listener;
-        host = address.address();
-        port = address.port();
+        this.address = address;
         client = vertx.createHttpClient(new HttpClientOptions().setKeepAlive(true).setConnectTimeout(SILENCE_MS)
                 .setDecompressionSupported(false));
     }
@@ -52,32 +54,59 @@
         return first.future();
     }
 
-    private void next(boolean answered) {
+    /** Follows discovery at another address from now on, whole list first; until that comes the last list holds. */
+    public void moveTo(Endpoint elsewhere) {
+        if (elsewhere.equals(address)) {
+            return;
+        }
+        Logger.info("discovery moves from {} to {}", address, elsewhere);
+        address = elsewhere;
+        // Guards against versions of two discoveries taken for one another's, and against a late answer of the old one.
+        moves++;
+        index = -1;
+        if (running != null) {
+            running.reset();
+        }
+        watch();
+    }
+
+    private void next(boolean answered, int move) {
+        if (move != moves) {
+            return;
+        }
         if (answered) {
             // Not within the end of the answer, when its connection is not free yet and a second would be opened.
-            vertx.runOnContext(free -> watch());
+            vertx.runOnContext(free -> watchStill(move));
         } else {
-            vertx.setTimer(AGAIN_MS, due -> watch());
+            vertx.setTimer(AGAIN_MS, due -> watchStill(move));
+        }
+    }
+
+    private void watchStill(int move) {
+        if (move == moves) {
+            watch();
         }
     }
 
     /** The next call goes out once an answer is taken in: a watch lasts while it is renewed within 200 ms. */
     private void watch() {
-        Future<Void> call = index < 0 ? call("/v1/endpoints", SILENCE_MS)
-                : call("/v1/endpoints?since=" + index + "&timeout_ms=" + WAIT_MS, WAIT_MS + SILENCE_MS);
-        call.onComplete(answer -> next(answer.succeeded()));
+        int move = moves;
+        Future<Void> call = index < 0 ? call("/v1/endpoints", SILENCE_MS, move)
+                : call("/v1/endpoints?since=" + index + "&timeout_ms=" + WAIT_MS, WAIT_MS + SILENCE_MS, move);
+        call.onComplete(answer -> next(answer.succeeded(), move));
     }
 
-    private Future<Void> call(String uri, int silenceMs) {
-        return client.request(new RequestOptions().setMethod(HttpMethod.GET).setHost(host).setPort(port).setURI(uri)
-                        .setConnectTimeout(SILENCE_MS))
+    private Future<Void> call(String uri, int silenceMs, int move) {
+        return client.request(new RequestOptions().setMethod(HttpMethod.GET).setHost(address.address())
+                        .setPort(address.port()).setURI(uri).setConnectTimeout(SILENCE_MS))
                 .compose(request -> {
+                    running = request;
                     // Guards against an answer that stops half way: the client's own idle time-out was seen not to end it.
                     long late = vertx.setTimer(silenceMs, due -> request.reset());
                     return request.send().compose(this::body).onComplete(done -> vertx.cancelTimer(late));
                 })
-                .compose(this::take)
-                .onFailure(this::failed);
+                .compose(body -> move == moves ? take(body) : Future.failedFuture("discovery has moved"))
+                .onFailure(reason -> failed(reason, move));
     }
 
     private Future<Buffer> body(HttpClientResponse response) {
@@ -86,8 +115,8 @@
     }
 
     /** Tells the first failure of each time that discovery is away, not the calls made until it is back. */
-    private void failed(Throwable reason) {
-        if (!silent) {
+    private void failed(Throwable reason, int move) {
+        if (!silent && move == moves) {
             silent = true;
             Logger.warn("discovery does not answer: {}", reason.getMessage());
         }
--- /dev/null
+++ b/src/main/java/opalcove/platform/Hangups.java
@@ -0,0 +1,46 @@
+package opalcove.platform;
+
+import java.lang.reflect.Proxy;
+
+/**
+ * Hears SIGHUP, by which the platform tells that the configuration file was replaced, from its making on. What comes
+ * before anybody listens is kept. A listener runs on a thread of its own.
+ */
+public final class Hangups {
+    private Runnable listener;
+    private boolean heard;
+
+    /** Guards the program against its default, which is to end at SIGHUP. */
+    public Hangups() {
+        try {
+            // The JDK's module jdk.unsupported has the one way to hear a signal; named directly, it is a warning that
+            // cannot be silenced.
+            Class<?> signal = Class.forName("sun.misc.Signal");
+            Class<?> handler = Class.forName("sun.misc.SignalHandler");
+            Object hears = Proxy.newProxyInstance(handler.getClassLoader(), new Class<?>[] {handler},
+                    (self, method, arguments) -> {
+                        heard();
+                        return null;
+                    });
+            signal.getMethod("handle", signal, handler)
+                    .invoke(null, signal.getConstructor(String.class).newInstance("HUP"), hears);
+        } catch (ReflectiveOperationException e) {
+            throw new IllegalStateException("SIGHUP cannot be heard", e);
+        }
+    }
+
+    private synchronized void heard() {
+        heard = true;
+        if (listener != null) {
+            listener.run();
+        }
+    }
+
+    /** Runs the action at each SIGHUP, and at once where one has come already. */
+    public synchronized void listen(Runnable action) {
+        listener = action;
+        if (heard) {
+            action.run();
+        }
+    }
+}
--- a/src/test/java/opalcove/MainTest.java
+++ b/src/test/java/opalcove/MainTest.java
@@ -1,8 +1,13 @@
 package opalcove;
 
 import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertNotNull;
 import static org.testng.Assert.assertTrue;
 
+import java.io.BufferedReader;
+import java.net.InetAddress;
+import java.net.ServerSocket;
+import java.net.Socket;
 import java.nio.charset.StandardCharsets;
 import java.nio.file.Files;
 import java.nio.file.Path;
@@ -64,6 +69,64 @@
         }
     }
 
+    @Test
+    public void sighupMovesDiscoveryAndABadFileChangesNothing() throws Exception {
+        Path config = Files.createTempFile("config", ".json");
+        try (ServerSocket first = discovery(); ServerSocket second = discovery()) {
+            String text = Files.readString(Path.of("example/config.json")).replace("127.0.0.1:7100", "127.0.0.1:0");
+            Files.writeString(config, text.replace("127.0.0.1:7101", "127.0.0.1:" + first.getLocalPort()));
+            ProcessBuilder builder = new ProcessBuilder(program("serve")).redirectErrorStream(true);
+            builder.environment().put("GW_CONFIG", config.toString());
+            // The file that was replaced goes before the variable, which is as old as the process.
+            builder.environment().put("GW_DISCOVERY", "127.0.0.1:1");
+            Process gateway = builder.start();
+            try (Socket watched = first.accept(); BufferedReader log = gateway.inputReader()) {
+                assertEquals(call(watched), "GET /v1/endpoints HTTP/1.1");
+                Files.writeString(config, "{\"discovery\":");
+                hangUp(gateway);
+                String line = log.readLine();
+                while (line != null && !line.contains("the old stays in force: " + config + ": malformed JSON")) {
+                    line = log.readLine();
+                }
+                assertNotNull(line, "the bad file was not refused");
+                Files.writeString(config, text.replace("127.0.0.1:7101", "127.0.0.1:" + second.getLocalPort()));
+                hangUp(gateway);
+                try (Socket moved = second.accept()) {
+                    assertEquals(call(moved), "GET /v1/endpoints HTTP/1.1");
+                    // The call under way at the old address is given up: its connection ends after the headers.
+                    String rest = new String(watched.getInputStream().readAllBytes(), StandardCharsets.UTF_8);
+                    assertTrue(rest.endsWith("\r\n\r\n"), rest);
+                }
+                gateway.destroy();
+                assertTrue(log.lines().anyMatch(each -> each.contains("phase STOPPED")));
+                assertEquals(gateway.waitFor(), 0);
+            } finally {
+                gateway.destroyForcibly();
+            }
+        } finally {
+            Files.delete(config);
+        }
+    }
+
+    private static ServerSocket discovery() throws Exception {
+        ServerSocket discovery = new ServerSocket(0, 50, InetAddress.getByName("127.0.0.1"));
+        discovery.setSoTimeout(60_000);
+        return discovery;
+    }
+
+    private static String call(Socket socket) throws Exception {
+        socket.setSoTimeout(60_000);
+        StringBuilder line = new StringBuilder();
+        for (int each = socket.getInputStream().read(); each != '\r'; each = socket.getInputStream().read()) {
+            line.append((char) each);
+        }
+        return line.toString();
+    }
+
+    private static void hangUp(Process gateway) throws Exception {
+        assertEquals(new ProcessBuilder("kill", "-HUP", Long.toString(gateway.pid())).start().waitFor(), 0);
+    }
+
     private static String refused(String good, String wrong) throws Exception {
         Path config = Files.createTempFile("config", ".json");
         try {
