Check every field of an ask, join no foreign id, and let links rest before they are used again

Causes, at the lines at fault: - Gateway.serve joined an ask that named another terminal's open id and served it the other's value; AskReader took units of NaN or 1e5, operators beyond 2^33, sets out of range, any deadline. - LinkPool.Link.replied gave the line back at once, so a second copy that followed a good answer, in the same bytes even, was taken for the next ask's answer; RespReader read on after noise. - LinkPool.Carried called an attempt 'never ran' when its line ended before the write was told of as done; only a write that failed proves that. A swap-record then went to another pod. Now AskRules checks every field for both fronts before core and module; an id under way is an error; a line rests two turns of the loop before reuse; an answer of another form or one that stands still is a broken attempt; figures that cannot be count as not told; connections without an open ask end after 2 s. Ruled out: rejecting usual asks (a trace of 1,600 rejected ones held no usual one). What is left is refusals at the start, where the module takes the gateway's own want of processor for pressed app nodes: next.

--- a/src/main/java/opalcove/Main.java
+++ b/src/main/java/opalcove/Main.java
@@ -180,7 +180,7 @@
                     vertx.setTimer(longestWait(gateway) + LEAVING_MS, due -> phases.enter(Phase.STOPPED));
                 }
                 case STOPPED -> {
-                    Logger.info("counters\n{}", gateway.counters().lines());
+                    Logger.info("counters\n{}", gateway.figures());
                     stopped.countDown();
                 }
                 default -> { }
--- a/src/main/java/opalcove/decision/Admission.java
+++ b/src/main/java/opalcove/decision/Admission.java
@@ -47,16 +47,18 @@
                 double beyondCost, double ceilingRate, double ceilingBurst, double ceilingSlack) { }
 
     /**
-     * What the deployment allows; idleCloseMs: idle connections to hosts close after this. The last two bind the
-     * gateway, not the module: how long a connection may take to come up, and how many requests may be open at once.
+     * What the deployment allows; idleCloseMs: idle connections to hosts close after this. The last three bind the
+     * gateway, not the module: how long a connection may take to come up, how many requests may be open at once, and
+     * the units that a request counts at most.
      */
     record Limits(int maxAttempts, boolean secondCopies, boolean mayCancel, boolean mayProbe, boolean retryAfter,
-                  double maxRetryAfterMs, double idleCloseMs, boolean counter, double dialTimeoutMs, int maxOpen) {
+                  double maxRetryAfterMs, double idleCloseMs, boolean counter, double dialTimeoutMs, int maxOpen,
+                  double mostUnits) {
         /** Limits for a module on its own. */
         public Limits(int maxAttempts, boolean secondCopies, boolean mayCancel, boolean mayProbe, boolean retryAfter,
                       double maxRetryAfterMs, double idleCloseMs, boolean counter) {
             this(maxAttempts, secondCopies, mayCancel, mayProbe, retryAfter, maxRetryAfterMs, idleCloseMs, counter,
-                    250, 20_000);
+                    250, 20_000, Double.MAX_VALUE);
         }
     }
 
--- a/src/main/java/opalcove/gateway/Counters.java
+++ b/src/main/java/opalcove/gateway/Counters.java
@@ -4,7 +4,7 @@
 import opalcove.decision.Admission;
 
 /** What the gateway took in, sent and answered. One event loop writes them. */
-public final class Counters {
+final class Counters {
     long taken;
     long joined;
     long attempts;
@@ -22,7 +22,7 @@
     }
 
     /** One name and figure a line. */
-    public String lines() {
+    String lines() {
         StringBuilder text = new StringBuilder();
         line(text, "taken", taken);
         line(text, "joined", joined);
--- a/src/main/java/opalcove/gateway/Gateway.java
+++ b/src/main/java/opalcove/gateway/Gateway.java
@@ -31,12 +31,11 @@
     private final NodeList nodes = new NodeList();
     private final Guards guards;
     private final Counters counters = new Counters();
-    private final Map<String, Admission.RequestClass> classes = new HashMap<>();
+    private final AskRules rules;
     private final Map<String, Life> lives = new HashMap<>();
     private final ArrayDeque<Runnable> turns = new ArrayDeque<>();
     private final Admission module;
     private boolean inTurn;
-    private int open;
 
     public Gateway(Vertx vertx, Clock clock, Admission.Settings settings, long seed, NodeLinks links) {
         this.clock = clock;
@@ -44,29 +43,32 @@
         this.settings = settings;
         this.links = links;
         guards = new Guards(settings, nodes);
-        settings.classes().forEach(c -> classes.put(c.name(), c));
+        rules = new AskRules(settings);
         module = new Policy(clock.now(), settings, seed, new Decisions());
     }
 
     /** The life of one ask, from top to bottom. The answer fails only where the terminal left and none is owed. */
     public Future<Answer> serve(Ask ask, Future<Void> terminalLeft) {
-        Life known = lives.get(ask.id());
-        if (known != null) {
-            // Guards against a redelivery becoming a second request: it joins the one that is under way.
-            counters.joined++;
-            await(known, terminalLeft);
-            return known.answer;
+        counters.taken++;
+        Admission.RequestClass requestClass;
+        try {
+            requestClass = rules.requestClass(rules.check(ask).requestClass());
+        } catch (Marks.Unfit e) {
+            return count(Future.succeededFuture(new Answer.Failed(e.getMessage())));
+        }
+        if (lives.containsKey(ask.id())) {
+            // Guards an open ask against another terminal that names its id: it is neither joined, answered nor ended.
+            return count(Future.succeededFuture(new Answer.Failed("this id is under way")));
         }
-        Answer unfit = unfit(ask);
-        if (unfit != null) {
-            return count(Future.succeededFuture(unfit));
+        if (lives.size() >= settings.limits().maxOpen()) {
+            // Guards memory and descriptors against more open asks than this machine can hold.
+            return count(Future.succeededFuture(new Answer.Refused((long) settings.limits().maxRetryAfterMs())));
         }
-        Life life = take(ask);
-        await(life, terminalLeft);
-        life.answer = count(askModule(life)
+        Life life = take(ask, requestClass);
+        terminalLeft.onComplete(left -> leave(life));
+        return count(askModule(life)
                 .compose(step -> follow(life, step))
                 .onComplete(answered -> close(life)));
-        return life.answer;
     }
 
     /** Does what the module chose, asks it again after each attempt, and ends with the final answer. */
@@ -79,29 +81,14 @@
         return next.compose(chosen -> follow(life, chosen));
     }
 
-    /** The class of that name, for fronts. */
-    public Admission.RequestClass requestClass(String name) throws Marks.Unfit {
-        Admission.RequestClass known = classes.get(name);
-        if (known == null) {
-            throw new Marks.Unfit("unknown class");
-        }
-        return known;
-    }
-
-    private Answer unfit(Ask ask) {
-        counters.taken++;
-        if (settings.plans().stream().noneMatch(p -> p.name().equals(ask.plan()))) {
-            return new Answer.Failed("unknown plan");
-        }
-        // Guards memory and descriptors against more open asks than this machine can hold.
-        return open >= settings.limits().maxOpen() ? new Answer.Refused((long) settings.limits().maxRetryAfterMs())
-                : null;
+    /** What an ask must be like; a front reads it by these rules before it has it served. */
+    public AskRules rules() {
+        return rules;
     }
 
-    private Life take(Ask ask) {
-        Life life = new Life(ask, classes.get(ask.requestClass()), clock.now());
+    private Life take(Ask ask, Admission.RequestClass requestClass) {
+        Life life = new Life(ask, requestClass, clock.now());
         lives.put(ask.id(), life);
-        open++;
         life.deadline = alarms.set(ask.waitMs() - GUARD_MARGIN_MS, () -> overdue(life));
         return life;
     }
@@ -167,17 +154,6 @@
         end(life, () -> life.decide(new Life.Step.Final(new Answer.Failed("deadline"))));
     }
 
-    /** One more terminal waits for the answer; once the last has left, nobody does. */
-    private void await(Life life, Future<Void> terminalLeft) {
-        life.waiting++;
-        terminalLeft.onComplete(left -> {
-            life.waiting--;
-            if (life.waiting == 0) {
-                leave(life);
-            }
-        });
-    }
-
     private void leave(Life life) {
         if (life.over) {
             return;
@@ -197,7 +173,6 @@
     private void close(Life life) {
         life.deadline.cancel();
         lives.remove(life.ask.id(), life);
-        open--;
     }
 
     private Future<Answer> count(Future<Answer> answer) {
@@ -228,8 +203,10 @@
         counters.joined++;
     }
 
-    public Counters counters() {
-        return counters;
+    /** The counters, and what is open at this moment; one name and figure a line. */
+    public String figures() {
+        return counters.lines() + "asks_open=" + lives.size() + "\nlinks_open=" + links.open() + "\nlinks_resting="
+                + links.resting() + "\n";
     }
 
     public Admission.Settings settings() {
--- a/src/main/java/opalcove/gateway/Life.java
+++ b/src/main/java/opalcove/gateway/Life.java
@@ -38,11 +38,7 @@
     final Admission.RequestClass requestClass;
     final double takenAt;
     final List<Try> tries = new ArrayList<>(2);
-    /** Completed with the final answer, or failed where the terminal left and nothing is owed. */
-    Future<Answer> answer;
     boolean over;
-    /** How many terminals wait for the answer: the one that asked, and those whose redelivery joined it. */
-    int waiting;
     Alarms.Alarm deadline;
     private Promise<Step> step = Promise.promise();
 
--- a/src/main/java/opalcove/gateway/LinkPool.java
+++ b/src/main/java/opalcove/gateway/LinkPool.java
@@ -4,8 +4,10 @@
 import io.vertx.core.Promise;
 import io.vertx.core.Vertx;
 import java.util.ArrayDeque;
+import java.util.ArrayList;
 import java.util.Deque;
 import java.util.HashMap;
+import java.util.List;
 import java.util.Map;
 import java.util.function.Consumer;
 import opalcove.decision.Admission;
@@ -23,6 +25,8 @@
     private static final double IDLE_PART = 0.5;
     private static final double IDLE_DEFAULT_MS = 10_000;
     private static final long SWEEP_MS = 1000;
+    /** How often the lines that just carried an answer are looked at, ms. */
+    private static final long SETTLE_MS = 10;
 
     /** Opens lines on one wire. */
     public interface Dialler {
@@ -32,7 +36,10 @@
 
     /** One connection to an app node. */
     public interface Line {
-        /** Names who hears of the node's reply to an attempt and, once, of the end of the connection. */
+        /**
+         * Names who hears of the node's reply to an attempt and, once, of the end of the connection. What cannot be read
+         * ends the line: that attempt may have run.
+         */
         void attach(Consumer<NodeEnd> replies, Runnable closed);
 
         /** Sends an attempt; succeeds once its last byte is written. */
@@ -44,10 +51,15 @@
     private final Dialler dialler;
     private final double idleMs;
     private final int most;
-    private final Map<String, Deque<Link>> idle = new HashMap<>();
+    private final Vertx vertx;
+    /** By node; a shelf leaves with its node. */
+    private final Map<String, Shelf> shelves = new HashMap<>();
+    private List<Link> settling = new ArrayList<>();
+    private List<Link> settledOnce = new ArrayList<>();
     private int links;
 
     public LinkPool(Vertx vertx, Admission.Settings settings, Dialler dialler, int most) {
+        this.vertx = vertx;
         this.dialler = dialler;
         this.most = most;
         double told = settings.limits().idleCloseMs();
@@ -58,9 +70,9 @@
     @Override
     public Attempt attempt(AppNode node, Ask ask, double waitMs) {
         Carried attempt = new Carried(ask, waitMs);
-        Deque<Link> resting = idle.get(node.address());
-        if (resting != null && !resting.isEmpty()) {
-            attempt.sendOn(resting.pollFirst());
+        Shelf shelf = shelves.computeIfAbsent(node.name(), name -> new Shelf());
+        if (!shelf.idle.isEmpty()) {
+            attempt.sendOn(shelf.idle.pollFirst());
         } else if (links >= most) {
             // Guards the descriptors that terminals need.
             attempt.finish(NodeEnd.silent(Admission.Result.UNREACHABLE));
@@ -71,7 +83,7 @@
                     links--;
                     attempt.finish(NodeEnd.silent(Admission.Result.UNREACHABLE));
                 } else {
-                    attempt.dialled(new Link(dialled.result(), node.address()));
+                    attempt.dialled(new Link(dialled.result(), shelf));
                 }
             });
         }
@@ -90,31 +102,70 @@
 
     @Override
     public void forget(AppNode node) {
-        Deque<Link> resting = idle.remove(node.address());
-        if (resting != null) {
-            resting.forEach(link -> link.line.close());
+        Shelf shelf = shelves.remove(node.name());
+        if (shelf != null) {
+            shelf.open = false;
+            List.copyOf(shelf.idle).forEach(link -> link.line.close());
         }
     }
 
+    @Override
+    public int open() {
+        return links;
+    }
+
+    @Override
+    public int resting() {
+        return shelves.values().stream().mapToInt(shelf -> shelf.idle.size()).sum();
+    }
+
     private void closeIdle() {
         long now = System.nanoTime();
-        for (Deque<Link> resting : idle.values()) {
-            while (!resting.isEmpty() && (now - resting.peekLast().idleSince) / 1e6 > idleMs) {
-                resting.pollLast().line.close();
+        for (Shelf shelf : shelves.values()) {
+            while (!shelf.idle.isEmpty() && (now - shelf.idle.peekLast().idleSince) / 1e6 > idleMs) {
+                shelf.idle.pollLast().line.close();
             }
         }
     }
 
+    /**
+     * Guards the next attempt against bytes that follow an answer (a second copy, noise): a line is used again only
+     * after two of these turns. Between them the event loop has read what had come by then, and what comes while a
+     * line rests closes it.
+     */
+    private void settle(Link link) {
+        if (settling.isEmpty() && settledOnce.isEmpty()) {
+            vertx.setTimer(SETTLE_MS, due -> settleTurn());
+        }
+        settling.add(link);
+    }
+
+    private void settleTurn() {
+        settledOnce.forEach(Link::rest);
+        settledOnce = settling;
+        settling = new ArrayList<>();
+        if (!settledOnce.isEmpty()) {
+            vertx.setTimer(SETTLE_MS, due -> settleTurn());
+        }
+    }
+
+    /** The idle lines to one node, the latest first. It is closed once the list has the node take no new work, or elsewhere. */
+    private static final class Shelf {
+        final Deque<Link> idle = new ArrayDeque<>();
+        boolean open = true;
+    }
+
     /** A line and the attempt that it carries. */
     private final class Link {
         final Line line;
-        final String address;
+        final Shelf shelf;
         Carried user;
         long idleSince;
+        boolean ended;
 
-        Link(Line line, String address) {
+        Link(Line line, Shelf shelf) {
             this.line = line;
-            this.address = address;
+            this.shelf = shelf;
             line.attach(this::replied, this::gone);
         }
 
@@ -126,21 +177,27 @@
                 return;
             }
             user = null;
-            rest();
+            settle(this);
             done.finish(end);
         }
 
         void rest() {
-            idleSince = System.nanoTime();
-            idle.computeIfAbsent(address, a -> new ArrayDeque<>()).addFirst(this);
+            if (ended) {
+                return;
+            }
+            if (shelf.open) {
+                idleSince = System.nanoTime();
+                shelf.idle.addFirst(this);
+            } else {
+                // Guards a new node at the same place, and a drained one, against lines of the one that left.
+                line.close();
+            }
         }
 
         private void gone() {
+            ended = true;
             links--;
-            Deque<Link> resting = idle.get(address);
-            if (resting != null) {
-                resting.remove(this);
-            }
+            shelf.idle.remove(this);
             if (user != null) {
                 user.lineGone();
             }
@@ -154,7 +211,7 @@
         private final double waitMs;
         private final long startedAt = System.nanoTime();
         private Link link;
-        private boolean written;
+        private boolean unwritten;
         private boolean givenUp;
 
         Carried(Ask ask, double waitMs) {
@@ -174,13 +231,16 @@
             link = free;
             link.user = this;
             double left = waitMs - (System.nanoTime() - startedAt) / 1e6;
-            link.line.send(ask, Math.max(1, left)).onSuccess(whole -> written = true);
+            link.line.send(ask, Math.max(1, left)).onFailure(cut -> unwritten = true);
         }
 
-        /** The line ended under the attempt: before its last byte was written the node cannot have run it. */
+        /**
+         * The line ended under the attempt: before its last byte was written the node cannot have run it. Only a write
+         * that failed proves that; one of which nothing is told yet may be on its way.
+         */
         void lineGone() {
             finish(NodeEnd.silent(givenUp ? Admission.Result.CANCELLED
-                    : written ? Admission.Result.BROKEN : Admission.Result.UNREACHABLE));
+                    : unwritten ? Admission.Result.UNREACHABLE : Admission.Result.BROKEN));
         }
 
         void finish(NodeEnd how) {
--- a/src/main/java/opalcove/gateway/Marks.java
+++ b/src/main/java/opalcove/gateway/Marks.java
@@ -31,23 +31,39 @@
         return "1".equals(values.get(name));
     }
 
-    public double number(String name, double least, double most) throws Unfit {
-        try {
-            double value = Double.parseDouble(need(name));
-            if (value >= least && value <= most) {
-                return value;
-            }
-        } catch (NumberFormatException e) {
-            // falls through to the error
+    /** A number in plain decimal digits, perhaps with a point. */
+    public double number(String name) throws Unfit {
+        return decimal(need(name), name);
+    }
+
+    /** A whole number, plain digits alone. */
+    public int whole(String name) throws Unfit {
+        double value = number(name);
+        if (value != Math.rint(value)) {
+            throw new Unfit(name + " is not a whole number");
+        }
+        return (int) value;
+    }
+
+    /** Guards against what a language's own reader of numbers takes beyond plain ones: NaN, 1e99, 0x1p3, 2d, signs. */
+    private static double decimal(String text, String name) throws Unfit {
+        int point = text.indexOf('.');
+        boolean fits = text.length() <= 20 && point != 0 && point != text.length() - 1
+                && (point < 0 ? text.length() : point) <= 9;
+        for (int i = 0; fits && i < text.length(); i++) {
+            fits = i == point || text.charAt(i) >= '0' && text.charAt(i) <= '9';
+        }
+        if (!fits) {
+            throw new Unfit(name + " is not a number in range");
         }
-        throw new Unfit(name + " is out of range");
+        return Double.parseDouble(text);
     }
 
     /** An identifier of 16 hex digits. */
     public static String hex(String text, String what) throws Unfit {
         boolean fits = text.length() == 16;
         for (int i = 0; fits && i < 16; i++) {
-            fits = Character.digit(text.charAt(i), 16) >= 0;
+            fits = text.charAt(i) < 128 && Character.digit(text.charAt(i), 16) >= 0;
         }
         if (!fits) {
             throw new Unfit(what + " must be 16 hex digits");
--- a/src/main/java/opalcove/gateway/NodeLinks.java
+++ b/src/main/java/opalcove/gateway/NodeLinks.java
@@ -16,6 +16,12 @@
     /** Starts an attempt; waitMs is how long this gateway will wait at most. */
     Attempt attempt(AppNode node, Ask ask, double waitMs);
 
-    /** The node takes no new work: links to it that carry nothing are closed. */
+    /** The node takes no new work, or has moved: links to it are closed once they carry nothing. */
     void forget(AppNode node);
+
+    /** How many there are, or are being opened. */
+    int open();
+
+    /** How many of them carry nothing and may be used at once. */
+    int resting();
 }
--- a/src/main/java/opalcove/gateway/NodeList.java
+++ b/src/main/java/opalcove/gateway/NodeList.java
@@ -10,7 +10,7 @@
 final class NodeList {
     private final Map<String, AppNode> nodes = new LinkedHashMap<>();
 
-    /** Takes in the whole list or the changed lines; gives the nodes that took new work before and do not now. */
+    /** Takes in the whole list or the changed lines; gives the nodes that took new work before and do not now, or elsewhere. */
     List<AppNode> told(boolean whole, List<AppNode> lines) {
         Map<String, AppNode> before = new LinkedHashMap<>(nodes);
         if (whole) {
@@ -25,7 +25,8 @@
         }
         List<AppNode> left = new ArrayList<>();
         before.forEach((name, node) -> {
-            if (node.host().state() == Admission.State.UP && open(name) == null) {
+            AppNode now = open(name);
+            if (node.host().state() == Admission.State.UP && (now == null || !now.address().equals(node.address()))) {
                 left.add(node);
             }
         });
--- a/src/main/java/opalcove/mqtt/AskMessage.java
+++ b/src/main/java/opalcove/mqtt/AskMessage.java
@@ -16,7 +16,7 @@
 import java.util.Map;
 import opalcove.decision.Admission;
 import opalcove.gateway.Ask;
-import opalcove.gateway.Gateway;
+import opalcove.gateway.AskRules;
 import opalcove.gateway.Marks;
 
 /** An ask as an MQTT 5 publication: read at the front, written at the links. docs/mqtt.md has its form. */
@@ -39,12 +39,12 @@
         }
     }
 
-    static Ask read(Gateway gateway, String id, String topic, MqttProperties properties, Buffer body)
+    static Ask read(AskRules rules, String id, String topic, MqttProperties properties, Buffer body)
             throws Marks.Unfit {
         if (!topic.startsWith(TOPIC)) {
             throw new Marks.Unfit("asks are published below " + TOPIC);
         }
-        Admission.RequestClass requestClass = gateway.requestClass(topic.substring(TOPIC.length()));
+        Admission.RequestClass requestClass = rules.requestClass(topic.substring(TOPIC.length()));
         boolean safe = requestClass.effect() == Admission.Effect.SAFE;
         if (safe && body.length() > 0) {
             throw new Marks.Unfit(requestClass.name() + " carries no body");
@@ -60,11 +60,10 @@
         double waitMs = Math.min(requestClass.deadlineMs(),
                 expiry == null ? Double.MAX_VALUE : Integer.toUnsignedLong(expiry) * 1000.0);
         Marks marks = new Marks(userProperties(properties));
-        return new Ask(id, Marks.hex(marks.need("operator"), "operator"), requestClass.name(), marks.need("plan"),
-                marks.number("units", 0.001, 1e6), waitMs,
+        return rules.check(new Ask(id, marks.need("operator"), requestClass.name(), marks.need("plan"),
+                marks.number("units"), waitMs,
                 requestClass.effect() == Admission.Effect.KEYED ? marks.need("key") : null, marks.set("retry"),
-                (int) marks.number("entry-points", 1, 1e4), (int) marks.number("first-entry", 0, 1e4),
-                safe ? null : body);
+                marks.whole("entry-points"), marks.whole("first-entry"), safe ? null : body));
     }
 
     /** The properties of the publication that passes the ask on. Its expiry is in whole seconds, rounded up. */
--- a/src/main/java/opalcove/mqtt/MqttFront.java
+++ b/src/main/java/opalcove/mqtt/MqttFront.java
@@ -200,8 +200,8 @@
         private void take(String id, OpenAsk opened, MqttPublishMessage message) {
             Ask ask;
             try {
-                ask = AskMessage.read(gateway, id, message.topicName(), message.properties(), message.payload());
-                Admission.Effect effect = gateway.requestClass(ask.requestClass()).effect();
+                ask = AskMessage.read(gateway.rules(), id, message.topicName(), message.properties(), message.payload());
+                Admission.Effect effect = gateway.rules().requestClass(ask.requestClass()).effect();
                 if (message.isDup() && effect != Admission.Effect.SAFE) {
                     // Guards against a second effect: who had the first delivery, and when, is not known here any more.
                     throw new Marks.Unfit("redelivered after its time, it may have had its effect");
--- a/src/main/java/opalcove/plan/ControlDesk.java
+++ b/src/main/java/opalcove/plan/ControlDesk.java
@@ -40,7 +40,7 @@
         if (what.equals("GET /v1/endpoints")) {
             answer(request, 200, NodeLines.write(index, true, gateway.nodes()) + "\n");
         } else if (what.equals("GET /v1/counters")) {
-            answer(request, 200, gateway.counters().lines());
+            answer(request, 200, gateway.figures());
         } else if (request.path().equals("/v1/endpoints") && request.method() == HttpMethod.POST) {
             Buffer body = Buffer.buffer();
             request.handler(part -> {
--- a/src/main/java/opalcove/platform/AskReader.java
+++ b/src/main/java/opalcove/platform/AskReader.java
@@ -7,7 +7,7 @@
 import java.util.Map;
 import opalcove.decision.Admission;
 import opalcove.gateway.Ask;
-import opalcove.gateway.Gateway;
+import opalcove.gateway.AskRules;
 import opalcove.gateway.Marks;
 
 /** Turns a terminal's command into an ask, and an ask into the command for an app node. */
@@ -22,7 +22,7 @@
         return command.equals(QUERY) || command.equals(SUBMIT);
     }
 
-    static Ask read(Gateway gateway, String command, List<Buffer> words) throws Marks.Unfit {
+    static Ask read(AskRules rules, String command, List<Buffer> words) throws Marks.Unfit {
         boolean submit = command.equals(SUBMIT);
         if (words.size() != (submit ? 5 : 4)) {
             throw new Marks.Unfit("wrong number of words for " + command);
@@ -33,19 +33,20 @@
             if (equals < 1) {
                 throw new Marks.Unfit("expected name=value");
             }
-            values.put(mark.substring(0, equals), mark.substring(equals + 1));
+            if (values.put(mark.substring(0, equals), mark.substring(equals + 1)) != null) {
+                throw new Marks.Unfit("a name comes twice");
+            }
         }
         Marks marks = new Marks(values);
-        Admission.RequestClass requestClass = gateway.requestClass(marks.need("c"));
+        Admission.RequestClass requestClass = rules.requestClass(marks.need("c"));
         if (submit == (requestClass.effect() == Admission.Effect.SAFE)) {
             throw new Marks.Unfit(command + " does not serve " + requestClass.name());
         }
         boolean keyed = requestClass.effect() == Admission.Effect.KEYED;
-        return new Ask(Marks.hex(words.get(2).toString(), "the id"),
-                Marks.hex(words.get(1).toString(), "the customer"), requestClass.name(), marks.need("t"),
-                marks.number("units", 0.001, 1e6), marks.number("d", 0, 3.6e6), keyed ? marks.need("k") : null,
-                marks.set("r"), (int) marks.number("spread", 1, 1e4), (int) marks.number("first", 0, 1e4),
-                submit ? words.get(4) : null);
+        return rules.check(new Ask(Marks.hex(words.get(2).toString(), "the id"), words.get(1).toString(),
+                requestClass.name(), marks.need("t"), marks.number("units"), marks.number("d"),
+                keyed ? marks.need("k") : null, marks.set("r"), marks.whole("spread"), marks.whole("first"),
+                submit ? words.get(4) : null));
     }
 
     /** The command that passes the ask on; waitMs is how long this gateway will wait. */
--- a/src/main/java/opalcove/platform/RespDialler.java
+++ b/src/main/java/opalcove/platform/RespDialler.java
@@ -11,13 +11,19 @@
 import opalcove.gateway.Endpoint;
 import opalcove.gateway.LinkPool;
 import opalcove.gateway.NodeEnd;
+import org.tinylog.Logger;
 
 /** Opens RESP2 lines to app nodes. */
 public final class RespDialler implements LinkPool.Dialler {
+    /** How long an answer may stand still once it has begun, ms. */
+    private static final long STALL_MS = 300;
+
+    private final Vertx vertx;
     private final NetClient client;
     private final NodeReply replies;
 
     public RespDialler(Vertx vertx, Admission.Settings settings) {
+        this.vertx = vertx;
         replies = new NodeReply(settings);
         client = vertx.createNetClient(new NetClientOptions().setReconnectAttempts(0)
                 .setConnectTimeout((int) Math.max(1, settings.limits().dialTimeoutMs())));
@@ -31,6 +37,8 @@
 
     private final class RespLine implements LinkPool.Line {
         private final NetSocket socket;
+        private RespReader reader;
+        private long stall = -1;
 
         RespLine(NetSocket socket) {
             this.socket = socket;
@@ -38,10 +46,41 @@
 
         @Override
         public void attach(Consumer<NodeEnd> told, Runnable closed) {
-            // What cannot be read ends the connection, and with it the attempt, as a reset.
-            socket.handler(new RespReader(reply -> told.accept(replies.read(reply)), reason -> socket.close()));
+            reader = new RespReader(NodeReply.PARTS, reply -> {
+                NodeEnd end = replies.read(reply);
+                if (end == null) {
+                    spoilt("an answer of no known form");
+                } else {
+                    told.accept(end);
+                }
+            }, this::spoilt);
+            socket.handler(bytes -> {
+                reader.handle(bytes);
+                watchStall();
+            });
             socket.exceptionHandler(e -> socket.close());
-            socket.closeHandler(end -> closed.run());
+            socket.closeHandler(end -> {
+                vertx.cancelTimer(stall);
+                closed.run();
+            });
+        }
+
+        /**
+         * Guards the attempt against an answer that is shorter than it says: nodes write an answer at once, so one that
+         * stands still half way will not be finished.
+         */
+        private void watchStall() {
+            vertx.cancelTimer(stall);
+            if (reader.within()) {
+                stall = vertx.setTimer(STALL_MS, due -> spoilt("an answer without an end"));
+            }
+        }
+
+        /** What cannot be read ends the connection, and with it the attempt, as a reset; nothing after it is heard. */
+        private void spoilt(String reason) {
+            Logger.debug("an app node's answer is spoilt: {}", reason);
+            reader.stop();
+            socket.close();
         }
 
         @Override
--- a/src/main/java/opalcove/platform/RespFront.java
+++ b/src/main/java/opalcove/platform/RespFront.java
@@ -27,6 +27,15 @@
 public final class RespFront {
     /** Commands of one connection that may wait for answers before it is read on. */
     private static final int MOST_PIPELINED = 256;
+    private static final int MOST_WORDS = 8;
+    /** A connection without an open ask is closed after this, be it new, at rest, or amid a command, ms. */
+    private static final long REST_MS = 2000;
+    private static final long SWEEP_MS = 250;
+    /** How long a connection is not read after a command that was an error, ms; longer with each of them. */
+    private static final long PENALTY_MS = 50;
+    private static final int MOST_PENALTIES = 20;
+
+    private final Vertx vertx;
 
     private final Gateway gateway;
     private final Phases phases;
@@ -35,6 +44,7 @@
     private Runnable whenEmpty = () -> { };
 
     public RespFront(Vertx vertx, Gateway gateway, Phases phases, int mostTerminals) {
+        this.vertx = vertx;
         this.gateway = gateway;
         this.phases = phases;
         server = vertx.createNetServer(new NetServerOptions().setAcceptBacklog(512).setReuseAddress(true));
@@ -46,6 +56,17 @@
             }
             terminals.add(new Terminal(socket));
         });
+        vertx.setPeriodic(SWEEP_MS, swept -> closeResting());
+    }
+
+    /** Guards memory and descriptors against terminals that ask once, or never to the end of a command, and stay. */
+    private void closeResting() {
+        long before = System.nanoTime() - TimeUnit.MILLISECONDS.toNanos(REST_MS);
+        for (Terminal each : List.copyOf(terminals)) {
+            if (each.slots.isEmpty() && each.lastUsed - before < 0) {
+                each.socket.close();
+            }
+        }
     }
 
     /**
@@ -98,12 +119,14 @@
         private final NetSocket socket;
         private final Deque<Slot> slots = new ArrayDeque<>();
         private long lastUsed = System.nanoTime();
+        private int errors;
         private boolean paused;
+        private boolean penalised;
         private boolean closing;
 
         Terminal(NetSocket socket) {
             this.socket = socket;
-            socket.handler(new RespReader(this::command, this::broken));
+            socket.handler(new RespReader(MOST_WORDS, this::command, this::broken));
             socket.exceptionHandler(e -> Logger.debug("a terminal's connection broke: {}", e.getMessage()));
             socket.closeHandler(closed -> gone());
         }
@@ -114,7 +137,7 @@
             slots.add(slot);
             List<Buffer> words = words(value);
             if (words.isEmpty()) {
-                answer(slot, Resp.line("-ERR expected a command"));
+                error(slot, "expected a command");
                 return;
             }
             String command = words.get(0).toString().toUpperCase(Locale.ROOT);
@@ -124,7 +147,7 @@
                 answer(slot, switch (command) {
                     case "PING" -> words.size() > 1 ? Resp.bulk(words.get(1)) : Resp.line("+PONG");
                     case "CLIENT", "SELECT" -> Resp.line("+OK");
-                    case "INFO" -> Resp.bulk(Buffer.buffer(gateway.counters().lines()));
+                    case "INFO" -> Resp.bulk(Buffer.buffer(gateway.figures()));
                     default -> Resp.line("-ERR unknown command");
                 });
             }
@@ -150,9 +173,9 @@
         private void ask(Slot slot, String command, List<Buffer> words) {
             Ask ask;
             try {
-                ask = AskReader.read(gateway, command, words);
+                ask = AskReader.read(gateway.rules(), command, words);
             } catch (Marks.Unfit e) {
-                answer(slot, Resp.line("-ERR " + e.getMessage()));
+                error(slot, e.getMessage());
                 return;
             }
             gateway.serve(ask, slot.left.future()).onSuccess(answer -> answer(slot, write(answer)));
@@ -168,6 +191,23 @@
             return Resp.line("-ERR " + ((Answer.Failed) answer).reason());
         }
 
+        /**
+         * An error in the command's place. Guards the processor against a terminal that sends the same again the moment
+         * it is turned away: for a while nothing more is read from it.
+         */
+        private void error(Slot slot, String reason) {
+            answer(slot, Resp.line("-ERR " + reason));
+            errors = Math.min(errors + 1, MOST_PENALTIES);
+            if (!penalised) {
+                penalised = true;
+                pause();
+                vertx.setTimer(PENALTY_MS * errors, over -> {
+                    penalised = false;
+                    resumeIfDrained();
+                });
+            }
+        }
+
         private void answer(Slot slot, Buffer bytes) {
             slot.answer = bytes;
             Buffer out = null;
@@ -176,6 +216,7 @@
                 out = out == null ? next : out.appendBuffer(next);
             }
             if (out != null) {
+                lastUsed = System.nanoTime();
                 socket.write(out);
                 closeIfIdle();
                 resumeIfDrained();
@@ -191,7 +232,7 @@
         }
 
         private void resumeIfDrained() {
-            if (paused && slots.size() < MOST_PIPELINED / 2 && !socket.writeQueueFull()) {
+            if (paused && !penalised && !closing && slots.size() < MOST_PIPELINED / 2 && !socket.writeQueueFull()) {
                 paused = false;
                 socket.resume();
             }
@@ -200,6 +241,8 @@
         /** What cannot be read ends this connection after the answers that it is owed. */
         private void broken(String reason) {
             closing = true;
+            // Guards the processor against the rest of what is no command, be it 60 MB.
+            pause();
             Slot last = new Slot();
             slots.add(last);
             answer(last, Resp.line("-ERR Protocol error: " + reason));
--- a/src/main/java/opalcove/platform/RespReader.java
+++ b/src/main/java/opalcove/platform/RespReader.java
@@ -13,12 +13,12 @@
 final class RespReader implements Handler<Buffer> {
     static final int MOST_BYTES = 64 * 1024;
     private static final int MOST_LINE = 4 * 1024;
-    private static final int MOST_ITEMS = 32;
     private static final int MOST_DEPTH = 3;
 
     private final RecordParser parser = RecordParser.newDelimited("\r\n", (Handler<Buffer>) null);
     private final Consumer<Resp> values;
     private final Consumer<String> errors;
+    private final int mostItems;
     private final Deque<Open> stack = new ArrayDeque<>();
     private int bulkLength = -1;
     private boolean broken;
@@ -26,7 +26,9 @@
     /** An array of which items are still to come. */
     private record Open(int size, List<Resp> items) { }
 
-    RespReader(Consumer<Resp> values, Consumer<String> errors) {
+    /** Arrays of more than mostItems are errors, as are lines, values and depths beyond the limits above. */
+    RespReader(int mostItems, Consumer<Resp> values, Consumer<String> errors) {
+        this.mostItems = mostItems;
         this.values = values;
         this.errors = errors;
         // Guards memory against a line or value that never ends.
@@ -42,6 +44,16 @@
         }
     }
 
+    /** Whether a value has begun and its end has not come. */
+    boolean within() {
+        return !broken && (bulkLength >= 0 || !stack.isEmpty());
+    }
+
+    /** Reads nothing more. */
+    void stop() {
+        broken = true;
+    }
+
     private void record(Buffer record) {
         if (broken) {
             return;
@@ -81,7 +93,7 @@
     }
 
     private void array(String text) {
-        int size = length(text, MOST_ITEMS);
+        int size = length(text, mostItems);
         if (size == -1 || size == 0) {
             value(new Resp.Items(List.of()));
         } else if (size > 0 && stack.size() == MOST_DEPTH) {
