Take the gateway's own lateness for no sign of pressed app nodes, and forget nodes that left

So the answers lay unread here, and Split.seen and Split.sign took their age for the app nodes' doing. Ruled out: the app nodes (p50 36 ms, none turned away). Now a tick later than 25 ms voids the signs of the moment; -BUSY of a node still counts. Also: Hosts.machines kept every node that ever was in the list; it forgets those gone as long as warming lasts.

--- a/src/main/java/opalcove/decision/Policy.java
+++ b/src/main/java/opalcove/decision/Policy.java
@@ -23,6 +23,8 @@
     private static final double DECAY = 0.25;
     /** Part of the backlog that counts as demand (the paper's alpha). */
     private static final double ALPHA = 0.5;
+    /** A tick that comes later than this shows that the gateway itself was held up, ms. */
+    private static final double LATE_MS = 25;
     private static final int TICK = 0, ANSWER = 1, SLOW = 2, PUMP = 3;
 
     private final Settings settings;
@@ -40,6 +42,11 @@
     private long serial;
     private boolean pumping;
     private double copies;
+    /**
+     * Guards against the gateway's own want of processor read as slow hosts: answers that lay unread looked
+     * late, and room was bounded at next to nothing for half a minute. Meanwhile ages tell nothing.
+     */
+    private double tickDue = Double.MAX_VALUE, lateUntil = -1e18;
 
     /** Starts a gateway's module; settings that contradict themselves are turned away. */
     public Policy(double now, Settings settings, long seed, Actions actions) {
@@ -155,6 +162,11 @@
         now = time;
         int kind = (int) (token & 3);
         if (kind == TICK) {
+            if (now - tickDue > LATE_MS) {
+                lateUntil = now + 2 * INTERVAL_MS;
+                split.forgetSigns();
+            }
+            tickDue = now + INTERVAL_MS;
             split.update();
             hosts.tick();
             companion.age();
@@ -291,6 +303,7 @@
 
     /** An attempt takes long: a sign of pressure, then a copy or another try where all of them allow it. */
     private void slow(Flight f) {
+        if (now < lateUntil) return;
         for (Attempt a : f.attempts) if (!a.ended && now - a.sentAt > 0.9 * slowMs(f.cls)) split.sign(a);
         // Guards against copies that add load where all hosts are slow: none while there is another sign.
         if (f.out != 1 || split.bounded || copies < 1 || split.signs > 1 || f.plan().openCap() > 0) return;
@@ -691,6 +704,7 @@
                     || o.result() == Result.SERVED && ratio > 0.6;
             served += o.result() == Result.SERVED ? f.request.units() : 0;
             news++;
+            if (now < lateUntil && o.result() != Result.TURNED_AWAY) return;
             if (sign) sign(a);
             if (a.sign) return;
             answers++;
@@ -712,6 +726,10 @@
             a.machine.signAt = now;
         }
 
+        void forgetSigns() {
+            answers = signs = ratios = 0;
+        }
+
         void update() {
             double seconds = INTERVAL_MS / 1000;
             usualNews += 0.1 * (news - usualNews);
@@ -777,6 +795,7 @@
         Host host;
         String zone, kind;
         boolean listed;
+        double goneAt = Double.MAX_VALUE;
         double slowness = 1, errors, budget, inHand, heardAt, oldestAt, shunUntil;
         double coldSince = -1e18, signAt = -1e18, metAt = -1e18, downSince = -1;
         int out, fails, refusals;
@@ -796,7 +815,12 @@
 
         void listed(boolean whole, List<Host> lines) {
             askAt = Double.MAX_VALUE;
-            for (Machine m : machines.values()) m.listed &= !whole;
+            if (whole) {
+                for (Machine m : machines.values()) {
+                    m.listed = false;
+                    m.goneAt = Math.min(m.goneAt, now);
+                }
+            }
             for (Host line : lines) {
                 Machine m = machines.get(line.id());
                 boolean fresh = m == null;
@@ -814,6 +838,7 @@
                 m.zone = "zone " + line.zone();
                 m.kind = "kind " + line.kind();
                 m.listed = line.state() == State.UP;
+                m.goneAt = line.state() == State.GONE ? Math.min(m.goneAt, now) : Double.MAX_VALUE;
             }
             count();
             first = false;
@@ -857,6 +882,8 @@
             visits += 0.1 * (sends - visits);
             sends = 0;
             memory = Math.max(0.2, Math.min(1, 20 * visits / Math.max(1, usable)));
+            // Guards memory and each choice against hosts replaced for days: those that left are forgotten.
+            machines.values().removeIf(m -> m.out == 0 && now - m.goneAt > settings.duties().warmAfterMs());
             faults.replaceAll((group, part) -> 0.97 * part);
             for (Machine m : machines.values()) {
                 m.slowness += 0.04 * memory * (1 - m.slowness);
