Rehearse before the gateway opens, so that the first asks do not meet a cold program

Seen: on 0.3 of a core the first 5 to 10 s went to class loading and the compiler (0.5 s of C1 and 0.5 s of interpreted code a gateway, by thread); first attempts waited 0.4 to 0.9 s, answers back 0.1 to 0.3 s. Ruled out by probes: compile thresholds x0.3, x3, x10 (no less processor), -Xint (twice as much); the class-data archive is in use (without it 0.3 s more).

--- /dev/null
+++ b/src/main/java/opalcove/platform/Rehearsal.java
@@ -0,0 +1,125 @@
+package opalcove.platform;
+
+import io.vertx.core.Future;
+import io.vertx.core.Promise;
+import io.vertx.core.Vertx;
+import io.vertx.core.buffer.Buffer;
+import io.vertx.core.net.NetSocket;
+import io.vertx.core.net.SocketAddress;
+import java.io.IOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.ExecutionException;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.TimeoutException;
+import opalcove.decision.Admission;
+import opalcove.gateway.AppNode;
+import opalcove.gateway.Ask;
+import opalcove.gateway.Clock;
+import opalcove.gateway.Gateway;
+import opalcove.gateway.LinkPool;
+import opalcove.gateway.Phases;
+import org.tinylog.Logger;
+
+/**
+ * Plays asks through the program before it opens: a front, a core and links of their own, and a stand-in for an app
+ * node, over UNIX sockets in a private folder. Guards the first terminals against a program that is still cold, with
+ * classes to load and code to compile: on a part of a core their asks waited for up to a second.
+ */
+public final class Rehearsal {
+    static final int ASKS = 500;
+    /** Asks under way at a time. */
+    private static final int WINDOW = 2;
+    private static final int NODES = 3;
+    private static final int MOST_LINKS = 64;
+
+    private final Vertx vertx;
+    private final Admission.Settings settings;
+    private final Promise<Void> played = Promise.promise();
+    private int sent;
+    private volatile int answered;
+
+    private Rehearsal(Vertx vertx, Admission.Settings settings) {
+        this.vertx = vertx;
+        this.settings = settings;
+    }
+
+    /**
+     * Plays for so long at most and then closes the Vert.x instance it was given; a failure costs nothing but time.
+     * Gives the number of asks that were answered.
+     */
+    public static int play(Vertx vertx, Admission.Settings settings, long mostMs) {
+        Rehearsal rehearsal = new Rehearsal(vertx, settings);
+        try {
+            Path folder = Files.createTempDirectory("rehearsal");
+            Path node = folder.resolve("node");
+            Path front = folder.resolve("front");
+            try {
+                vertx.runOnContext(start -> rehearsal.open(SocketAddress.domainSocketAddress(node.toString()),
+                        SocketAddress.domainSocketAddress(front.toString())).onFailure(rehearsal.played::tryFail));
+                rehearsal.played.future().toCompletionStage().toCompletableFuture().get(mostMs, TimeUnit.MILLISECONDS);
+            } finally {
+                vertx.close().toCompletionStage().toCompletableFuture().get(mostMs, TimeUnit.MILLISECONDS);
+                for (Path each : List.of(node, front, folder)) {
+                    Files.deleteIfExists(each);
+                }
+            }
+        } catch (TimeoutException e) {
+            Logger.debug("the rehearsal took its time");
+        } catch (IOException | ExecutionException e) {
+            Logger.warn("no rehearsal: {}", e.getMessage());
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+        }
+        return rehearsal.answered;
+    }
+
+    private Future<?> open(SocketAddress node, SocketAddress at) {
+        LinkPool links = new LinkPool(vertx, settings, new RespDialler(vertx, settings, address -> node), MOST_LINKS);
+        Gateway gateway = new Gateway(vertx, new Clock(), settings, 1, links);
+        List<AppNode> nodes = new ArrayList<>();
+        for (int i = 0; i < NODES; i++) {
+            nodes.add(new AppNode(new Admission.Host("rehearsal-" + i, settings.zone(), "", i, Admission.State.UP, 1, 0),
+                    ""));
+        }
+        gateway.nodesTold(true, nodes);
+        return vertx.createNetServer().connectHandler(Rehearsal::work).listen(node)
+                .compose(open -> new RespFront(vertx, gateway, new Phases(), WINDOW).listen(at))
+                .compose(open -> vertx.createNetClient().connect(at))
+                .onSuccess(this::ask);
+    }
+
+    /** An app node that gives each ask's id as its value. */
+    private static void work(NetSocket socket) {
+        socket.handler(new RespReader(5, command -> {
+            Buffer id = ((Resp.Bulk) ((Resp.Items) command).values().get(2)).bytes();
+            socket.write(Resp.command(List.of(id, Buffer.buffer("used=1,cost=1"), Buffer.buffer("latency_ms=1.5"))));
+        }, reason -> socket.close()));
+    }
+
+    private void ask(NetSocket socket) {
+        socket.handler(new RespReader(1, answer -> {
+            answered++;
+            if (answered == ASKS) {
+                played.tryComplete();
+            } else if (sent < ASKS) {
+                next(socket);
+            }
+        }, reason -> played.tryFail(reason)));
+        while (sent < WINDOW) {
+            next(socket);
+        }
+    }
+
+    /** Each ask from another operator, so that no quota ends the play; classes and plans in turn. */
+    private void next(NetSocket socket) {
+        Admission.RequestClass c = settings.classes().get(sent % settings.classes().size());
+        String id = String.format("%016x", sent++);
+        socket.write(AskReader.command(new Ask(id, id, c.name(), settings.plans().get(sent % settings.plans().size())
+                .name(), 1, c.deadlineMs(), c.effect() == Admission.Effect.KEYED ? id : null, false,
+                settings.gateways(), 0, c.effect() == Admission.Effect.SAFE ? null : Buffer.buffer(id)),
+                c.deadlineMs()));
+    }
+}
--- a/src/main/java/opalcove/platform/RespDialler.java
+++ b/src/main/java/opalcove/platform/RespDialler.java
@@ -5,7 +5,9 @@
 import io.vertx.core.net.NetClient;
 import io.vertx.core.net.NetClientOptions;
 import io.vertx.core.net.NetSocket;
+import io.vertx.core.net.SocketAddress;
 import java.util.function.Consumer;
+import java.util.function.Function;
 import opalcove.decision.Admission;
 import opalcove.gateway.Ask;
 import opalcove.gateway.Endpoint;
@@ -19,11 +21,21 @@
     private static final long STALL_MS = 300;
 
     private final Vertx vertx;
+    private final Function<String, SocketAddress> place;
     private final NetClient client;
     private final NodeReply replies;
 
     public RespDialler(Vertx vertx, Admission.Settings settings) {
+        this(vertx, settings, address -> {
+            Endpoint node = Endpoint.read(address, "address");
+            return SocketAddress.inetSocketAddress(node.port(), node.address());
+        });
+    }
+
+    /** Dials where the function says that an address is. */
+    RespDialler(Vertx vertx, Admission.Settings settings, Function<String, SocketAddress> place) {
         this.vertx = vertx;
+        this.place = place;
         replies = new NodeReply(settings);
         client = vertx.createNetClient(new NetClientOptions().setReconnectAttempts(0)
                 .setConnectTimeout((int) Math.max(1, settings.limits().dialTimeoutMs())));
@@ -31,8 +43,7 @@
 
     @Override
     public Future<LinkPool.Line> dial(String address) {
-        Endpoint node = Endpoint.read(address, "address");
-        return client.connect(node.port(), node.address()).map(RespLine::new);
+        return client.connect(place.apply(address)).map(RespLine::new);
     }
 
     private final class RespLine implements LinkPool.Line {
--- a/src/main/java/opalcove/platform/RespFront.java
+++ b/src/main/java/opalcove/platform/RespFront.java
@@ -7,6 +7,7 @@
 import io.vertx.core.net.NetServer;
 import io.vertx.core.net.NetServerOptions;
 import io.vertx.core.net.NetSocket;
+import io.vertx.core.net.SocketAddress;
 import java.util.ArrayDeque;
 import java.util.ArrayList;
 import java.util.Deque;
@@ -90,7 +91,11 @@
 
     /** Opens the front; gives the port. */
     public Future<Integer> listen(Endpoint at) {
-        return server.listen(at.port(), at.address()).map(NetServer::actualPort);
+        return listen(SocketAddress.inetSocketAddress(at.port(), at.address())).map(NetServer::actualPort);
+    }
+
+    Future<NetServer> listen(SocketAddress at) {
+        return server.listen(at);
     }
 
     /** Takes no new connections, and closes each that owes no answer; runs the action once none is left. */
--- /dev/null
+++ b/src/test/java/opalcove/platform/RehearsalTest.java
@@ -0,0 +1,25 @@
+package opalcove.platform;
+
+import static org.testng.Assert.assertEquals;
+
+import io.vertx.core.Vertx;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.stream.Stream;
+import opalcove.Facts;
+import org.testng.annotations.Test;
+
+public class RehearsalTest {
+    @Test
+    public void allItsAsksAreAnsweredAndItLeavesNothing() throws Exception {
+        long before = folders();
+        assertEquals(Rehearsal.play(Vertx.vertx(), Facts.settings(), 60_000), Rehearsal.ASKS);
+        assertEquals(folders(), before);
+    }
+
+    private static long folders() throws Exception {
+        try (Stream<Path> all = Files.list(Path.of(System.getProperty("java.io.tmpdir")))) {
+            return all.filter(each -> each.getFileName().toString().startsWith("rehearsal")).count();
+        }
+    }
+}
