Give asks lines of their own after a used one broke, and take no host for cold by broken links

Ruled out: pressed nodes (none turned away), the room (unbounded on most gateways then). Now LinkPool gives each attempt a line of its own for 10 s after a used line broke under one; three failed connects in a row, not two ends of any kind, make a host cold.

--- a/src/main/java/opalcove/decision/Policy.java
+++ b/src/main/java/opalcove/decision/Policy.java
@@ -25,6 +25,8 @@
     private static final double ALPHA = 0.5;
     /** A tick that comes later than this shows that the gateway itself was held up, ms. */
     private static final double LATE_MS = 25;
+    /** What was not heard of for so long, an operator or a host that left, is forgotten, ms. */
+    private static final double FORGET_MS = 60_000;
     private static final int TICK = 0, ANSWER = 1, SLOW = 2, PUMP = 3;
 
     private final Settings settings;
@@ -481,7 +483,7 @@
         void age() {
             for (Iterator<Customer> it = customers.values().iterator(); it.hasNext(); it.remove()) {
                 Customer eldest = it.next();
-                if (eldest.open > 0 || now - eldest.at < 60_000) return;
+                if (eldest.open > 0 || now - eldest.at < FORGET_MS) return;
             }
         }
 
@@ -798,7 +800,7 @@
         double goneAt = Double.MAX_VALUE;
         double slowness = 1, errors, budget, inHand, heardAt, oldestAt, shunUntil;
         double coldSince = -1e18, signAt = -1e18, metAt = -1e18, downSince = -1;
-        int out, fails, refusals;
+        int out, fails, unreached, refusals;
     }
 
     /** The hosts: the list, the choice, health and cold starts. */
@@ -883,7 +885,7 @@
             sends = 0;
             memory = Math.max(0.2, Math.min(1, 20 * visits / Math.max(1, usable)));
             // Guards memory and each choice against hosts replaced for days: those that left are forgotten.
-            machines.values().removeIf(m -> m.out == 0 && now - m.goneAt > settings.duties().warmAfterMs());
+            machines.values().removeIf(m -> m.out == 0 && now - m.goneAt > FORGET_MS);
             faults.replaceAll((group, part) -> 0.97 * part);
             for (Machine m : machines.values()) {
                 m.slowness += 0.04 * memory * (1 - m.slowness);
@@ -981,7 +983,11 @@
                     m.refusals++;
                     m.shunUntil = now + Math.min(2000, 100 * m.refusals) / memory * (cold(m) ? 10 : 1);
                 }
-                case UNREACHABLE, BROKEN -> failed(m);
+                case UNREACHABLE -> {
+                    m.unreached++;
+                    failed(m);
+                }
+                case BROKEN -> failed(m);
                 // Guards against hosts that let attempts lie: one called off took at least its time out.
                 case CANCELLED, TIMED_OUT -> slower(m, Math.max(m.slowness, (now - a.sentAt) / usual[f.cls]));
                 default -> { }
@@ -1006,11 +1012,14 @@
             m.shunUntil = now + Math.min(4000, 500 * m.fails) / memory;
         }
 
-        /** Back after failed connects: it may have started anew before the list says so, so it is cold. */
+        /**
+         * Back after failed connects: it may have started anew before the list says so, so it is cold. Guards
+         * also against links that break now and then: two such in a row had warm hosts paced as cold ones.
+         */
         private void alive(Machine m) {
-            if (m.fails > 1 && m.downSince >= 0 && now - m.downSince > 1000 && !cold(m)) chill(m, now);
+            if (m.unreached > 2 && m.downSince >= 0 && now - m.downSince > 1000 && !cold(m)) chill(m, now);
             m.metAt = now;
-            m.fails = 0;
+            m.fails = m.unreached = 0;
             m.downSince = -1;
         }
 
--- a/src/main/java/opalcove/gateway/LinkPool.java
+++ b/src/main/java/opalcove/gateway/LinkPool.java
@@ -28,6 +28,12 @@
     /** How often the lines that just carried an answer are looked at, ms. */
     private static final long SETTLE_MS = 10;
 
+    /**
+     * How long each attempt gets a line of its own after a used line has broken under one. Guards against nodes, and
+     * machines between, that drop lines at rest: such a break may have run and tells nothing of the node's health.
+     */
+    private static final double DISTRUST_MS = 10_000;
+
     /** Opens lines on one wire. */
     public interface Dialler {
         /** Succeeds with a line that is ready for an attempt, or fails within the settings' time for connecting. */
@@ -57,6 +63,8 @@
     private List<Link> settling = new ArrayList<>();
     private List<Link> settledOnce = new ArrayList<>();
     private int links;
+    private boolean distrusted;
+    private long brokeAt;
 
     public LinkPool(Vertx vertx, Admission.Settings settings, Dialler dialler, int most) {
         this.vertx = vertx;
@@ -119,6 +127,17 @@
         return shelves.values().stream().mapToInt(shelf -> shelf.idle.size()).sum();
     }
 
+    private boolean reusable() {
+        distrusted &= (System.nanoTime() - brokeAt) / 1e6 < DISTRUST_MS;
+        return !distrusted;
+    }
+
+    private void distrust() {
+        distrusted = true;
+        brokeAt = System.nanoTime();
+        shelves.values().forEach(shelf -> List.copyOf(shelf.idle).forEach(link -> link.line.close()));
+    }
+
     private void closeIdle() {
         long now = System.nanoTime();
         for (Shelf shelf : shelves.values()) {
@@ -161,6 +180,7 @@
         final Shelf shelf;
         Carried user;
         long idleSince;
+        boolean used;
         boolean ended;
 
         Link(Line line, Shelf shelf) {
@@ -177,6 +197,7 @@
                 return;
             }
             user = null;
+            used = true;
             settle(this);
             done.finish(end);
         }
@@ -185,11 +206,11 @@
             if (ended) {
                 return;
             }
-            if (shelf.open) {
+            if (shelf.open && reusable()) {
                 idleSince = System.nanoTime();
                 shelf.idle.addFirst(this);
             } else {
-                // Guards a new node at the same place, and a drained one, against lines of the one that left.
+                // Guards also a new node at the same place, and a drained one, against lines of the one that left.
                 line.close();
             }
         }
@@ -199,6 +220,9 @@
             links--;
             shelf.idle.remove(this);
             if (user != null) {
+                if (used && !user.givenUp) {
+                    distrust();
+                }
                 user.lineGone();
             }
         }
