--- a/src/main/java/opalcove/decision/Policy.java
+++ b/src/main/java/opalcove/decision/Policy.java
@@ -206,6 +206,11 @@
         actions.wake(serial | kind, afterMs);
     }
 
+    /** How many hosts are remembered, listed or not. */
+    int knownHosts() {
+        return hosts.machines.size();
+    }
+
     /** A number from 0 to 1 (splitmix64 on the instance's seed). */
     private double chance() {
         random += 0x9E3779B97F4A7C15L;
--- a/src/test/java/opalcove/decision/PolicyTest.java
+++ b/src/test/java/opalcove/decision/PolicyTest.java
@@ -428,6 +428,33 @@
         assertFalse(world.logs.stream().anyMatch(l -> l.startsWith("room bounded")), world.logs.toString());
     }
 
+    @Test
+    void linksThatBreakNowAndThenMakeNoHostCold() {
+        world.start(new Admission.Limits(4, false, true, false, true, 2000, 15_000, false), 1);
+        world.list(true, up("h1"));
+        for (int i = 0; i < 3; i++) {
+            world.until(2000 * i);
+            world.policy.request(world.now, new Admission.Request("b" + i, "buy", "open", "c", 1, 1500, 1, false));
+            world.ends("b" + i, "h1", 0, i < 2 ? Admission.Result.BROKEN : Admission.Result.SERVED);
+        }
+        world.sends.clear();
+        for (int i = 0; i < 10; i++) {
+            world.policy.request(world.now, new Admission.Request("r" + i, "buy", "open", "d" + i, 1, 8000, 1, false));
+        }
+        assertTrue(world.sends.size() > 1, "a cold host is sent one at a time: " + world.sends);
+    }
+
+    @Test
+    void hostsThatLeftAreForgotten() {
+        world.start(world.limits, 2);
+        world.list(true, up("h1"), up("h2"));
+        world.list(false, host("h2", "east", Admission.State.GONE, 0));
+        world.until(59_000);
+        assertEquals(2, world.policy.knownHosts());
+        world.until(61_000);
+        assertEquals(1, world.policy.knownHosts());
+    }
+
     @Test
     void attemptsThatStayOutBoundTheRoomThoughNoneIsAnswered() {
         world.start(new Admission.Limits(4, false, true, false, true, 2000, 15_000, false), 2);
