--- a/src/main/java/opalcove/Main.java
+++ b/src/main/java/opalcove/Main.java
@@ -46,7 +46,7 @@
     /** How long to wait for discovery's first answer before the list known from before must do, ms. */
     private static final long FIRST_LIST_MS = 1000;
     /** How long the rehearsal may take, ms; it is over sooner on a whole core. */
-    private static final long REHEARSAL_MS = 6000;
+    private static final long REHEARSAL_MS = 4000;
 
     private Main() {
     }
@@ -93,10 +93,7 @@
 
     /** The platform's gateway: RESP2 on both sides, the node list from discovery. */
     private static void serve(Config config, Hangups hangups) {
-        if (!config.restart()) {
-            // Not where terminals wait already: there a cold gateway is of more use than none.
-            Logger.info("rehearsed {} asks", Rehearsal.play(vertx(), config.settings(), REHEARSAL_MS));
-        }
+        Logger.info("rehearsed {} asks", Rehearsal.play(vertx(), config.settings(), REHEARSAL_MS));
         Vertx vertx = vertx();
         Phases phases = new Phases();
         CountDownLatch stopped = new CountDownLatch(1);
--- a/src/main/java/opalcove/platform/Config.java
+++ b/src/main/java/opalcove/platform/Config.java
@@ -13,11 +13,8 @@
 import opalcove.gateway.NodeLines;
 import opalcove.gateway.SettingsReader;
 
-/**
- * What the platform tells a gateway at its start. It is a restart where the node list known from before has followed
- * changes already.
- */
-public record Config(String name, Endpoint listen, Endpoint discovery, long seed, int sockets, boolean restart,
+/** What the platform tells a gateway at its start. */
+public record Config(String name, Endpoint listen, Endpoint discovery, long seed, int sockets,
                      List<AppNode> known, Admission.Settings settings) {
     /**
      * Reads the file that GW_CONFIG names. The other variables go before what it says, but for discovery: they are as
@@ -43,8 +40,7 @@
                 : environment.getOrDefault("GW_DISCOVERY", ""), "discovery");
         int sockets = f.has("limits") ? f.object("limits").wholeOr("sockets", 1024) : 1024;
         return new Config(environment.getOrDefault("GW_NAME", f.textOr("name", "")), listen, discovery, seed(f),
-                sockets, f.has("known") && f.object("known").has("index") && f.object("known").serial("index") > 0,
-                f.has("known") ? NodeLines.read(f.object("known").objects("endpoints")) : List.of(),
+                sockets, f.has("known") ? NodeLines.read(f.object("known").objects("endpoints")) : List.of(),
                 SettingsReader.checked(f.object("settings")));
     }
 
