Make the repository a Maven reactor and put the command line on picocli

Need: the product grows by whole subsystems, which must not weigh on the program that the platform starts.

ArchUnit keeps the directions between packages; the core knows neither sockets nor codecs.

--- /dev/null
+++ b/cli/src/main/java/opalcove/cli/ApplyCommand.java
@@ -0,0 +1,31 @@
+package opalcove.cli;
+
+import io.vertx.core.Vertx;
+import java.nio.file.Path;
+import java.util.concurrent.Callable;
+import opalcove.gateway.Program;
+import opalcove.plan.Planner;
+import picocli.CommandLine.Command;
+import picocli.CommandLine.Option;
+import picocli.CommandLine.Parameters;
+
+@Command(name = "apply", mixinStandardHelpOptions = true, versionProvider = Opalcove.Version.class,
+        description = "Applies a plan to the gateway of which it was made; one made of an older node list is refused.")
+final class ApplyCommand implements Callable<Integer> {
+    @Parameters(paramLabel = "PLAN", description = "the plan file")
+    private Path planFile;
+    @Option(names = "--json", description = "print an object with the node list's new index")
+    private boolean json;
+
+    @Override
+    public Integer call() throws Exception {
+        Vertx vertx = Program.eventLoop();
+        try {
+            String text = new Planner(vertx).apply(planFile);
+            System.out.print(json ? "{\"index\":" + text.strip().substring("index ".length()) + "}\n" : text);
+        } finally {
+            vertx.close();
+        }
+        return 0;
+    }
+}
--- /dev/null
+++ b/cli/src/main/java/opalcove/cli/Opalcove.java
@@ -0,0 +1,108 @@
+package opalcove.cli;
+
+import java.io.IOException;
+import java.io.PrintWriter;
+import java.nio.file.Path;
+import java.util.concurrent.Callable;
+import opalcove.gateway.BadSettings;
+import opalcove.mqtt.MqttSettings;
+import opalcove.mqtt.ServeMqtt;
+import opalcove.platform.Serve;
+import opalcove.sim.Adapter;
+import picocli.CommandLine;
+import picocli.CommandLine.Command;
+import picocli.CommandLine.Model.CommandSpec;
+import picocli.CommandLine.Parameters;
+import picocli.CommandLine.Spec;
+
+/**
+ * The command line. Exits with 0, with 1 where a command failed, and with 2 where it was called wrongly. What a command
+ * reports goes to standard output; log lines and what is wrong go to standard error.
+ */
+@Command(name = "opalcove", mixinStandardHelpOptions = true, versionProvider = Opalcove.Version.class,
+        description = "Gateway of battery swap operators: which ask goes to which app node, when, and which is refused.",
+        subcommands = {Opalcove.ServeCommand.class, Opalcove.MqttCommand.class, PlanCommand.class, ApplyCommand.class,
+            Opalcove.AdapterCommand.class}, exitCodeListHeading = "%nExit codes:%n",
+        exitCodeList = {"0:done", "1:the command failed; standard error says why", "2:wrong call"})
+public final class Opalcove implements Runnable {
+    @Spec
+    private CommandSpec spec;
+
+    /** Makes the command line, whose program stays up after a command that serves. */
+    static CommandLine commandLine() {
+        return new CommandLine(new Opalcove())
+                .setExecutionExceptionHandler((failure, command, parsed) -> failed(failure, command.getErr()));
+    }
+
+    public static void main(String[] args) {
+        CommandLine commandLine = commandLine();
+        int code = commandLine.execute(args);
+        CommandLine.ParseResult parsed = commandLine.getParseResult();
+        boolean serves = parsed != null && parsed.hasSubcommand()
+                && parsed.subcommand().commandSpec().userObject() instanceof Serves;
+        if (code != 0 || !serves || parsed.subcommand().isUsageHelpRequested()
+                || parsed.subcommand().isVersionHelpRequested()) {
+            System.exit(code);
+        }
+    }
+
+    private static int failed(Exception failure, PrintWriter err) throws Exception {
+        if (!(failure instanceof BadSettings || failure instanceof IOException)) {
+            throw failure;
+        }
+        String text = failure instanceof BadSettings ? failure.getMessage() : failure.toString();
+        text.lines().forEach(line -> err.println("opalcove: " + line));
+        err.flush();
+        return CommandLine.ExitCode.SOFTWARE;
+    }
+
+    /** Without a command there is nothing to do. */
+    @Override
+    public void run() {
+        throw new CommandLine.ParameterException(spec.commandLine(), "Missing required subcommand");
+    }
+
+    /** A command whose program goes on until SIGTERM. */
+    private interface Serves { }
+
+    /** The version that the build put into the jar. */
+    static final class Version implements CommandLine.IVersionProvider {
+        @Override
+        public String[] getVersion() {
+            String version = Opalcove.class.getPackage().getImplementationVersion();
+            return new String[] {"opalcove " + (version == null ? "(not packaged)" : version)};
+        }
+    }
+
+    @Command(name = "serve", mixinStandardHelpOptions = true, versionProvider = Version.class,
+            description = "Serves as the platform's gateway, told by GW_NAME, GW_LISTEN, GW_DISCOVERY and GW_CONFIG,"
+                    + " until SIGTERM. opalcove-gateway.jar has the same command without the others.")
+    static final class ServeCommand implements Runnable, Serves {
+        @Override
+        public void run() {
+            Serve.start();
+        }
+    }
+
+    @Command(name = "mqtt", mixinStandardHelpOptions = true, versionProvider = Version.class,
+            description = "Serves behind the MQTT front until SIGTERM.")
+    static final class MqttCommand implements Runnable, Serves {
+        @Parameters(paramLabel = "FILE", description = "the front's settings, such as deploy/mqtt.json")
+        private Path file;
+
+        @Override
+        public void run() {
+            ServeMqtt.start(MqttSettings.read(file));
+        }
+    }
+
+    @Command(name = "adapter", mixinStandardHelpOptions = true, versionProvider = Version.class,
+            description = "Plays the decisions on the simulator's wire, on standard input and output.")
+    static final class AdapterCommand implements Callable<Integer> {
+        @Override
+        public Integer call() throws Exception {
+            Adapter.onStandardStreams();
+            return 0;
+        }
+    }
+}
--- /dev/null
+++ b/cli/src/test/java/opalcove/cli/LayersTest.java
@@ -0,0 +1,47 @@
+package opalcove.cli;
+
+import static com.tngtech.archunit.library.Architectures.layeredArchitecture;
+import static com.tngtech.archunit.lang.syntax.ArchRuleDefinition.noClasses;
+
+import com.tngtech.archunit.core.domain.JavaClasses;
+import com.tngtech.archunit.core.importer.ClassFileImporter;
+import com.tngtech.archunit.core.importer.ImportOption;
+import org.testng.annotations.Test;
+
+/** Dependencies point inwards; what lies between modules is kept by their poms, the rest here. */
+public class LayersTest {
+    private static final JavaClasses PRODUCT = new ClassFileImporter()
+            .withImportOption(ImportOption.Predefined.DO_NOT_INCLUDE_TESTS).importPackages("opalcove");
+
+    @Test
+    public void dependenciesPointInwards() {
+        layeredArchitecture().consideringOnlyDependenciesInLayers()
+                .layer("decision").definedBy("opalcove.decision..")
+                .layer("core").definedBy("opalcove.gateway..")
+                .layer("platform").definedBy("opalcove.platform..", "opalcove.sim..")
+                .layer("mqtt").definedBy("opalcove.mqtt..", "opalcove.plan..")
+                .layer("laboratory").definedBy("opalcove.laboratory..")
+                .layer("programs").definedBy("opalcove", "opalcove.cli..")
+                .whereLayer("core").mayOnlyBeAccessedByLayers("platform", "mqtt", "laboratory", "programs")
+                .whereLayer("platform").mayOnlyBeAccessedByLayers("mqtt", "laboratory", "programs")
+                .whereLayer("mqtt").mayOnlyBeAccessedByLayers("laboratory", "programs")
+                .whereLayer("laboratory").mayOnlyBeAccessedByLayers("programs")
+                .whereLayer("programs").mayNotBeAccessedByAnyLayer()
+                .withOptionalLayers(true)
+                .check(PRODUCT);
+    }
+
+    /** The decision module stands on the JDK alone and does no I/O. */
+    @Test
+    public void theDecisionsDoNothingButDecide() {
+        noClasses().that().resideInAPackage("opalcove.decision..").should().dependOnClassesThat()
+                .resideOutsideOfPackages("opalcove.decision..", "java.lang..", "java.util..").check(PRODUCT);
+    }
+
+    /** The core knows no wire. */
+    @Test
+    public void theCoreKnowsNoWire() {
+        noClasses().that().resideInAPackage("opalcove.gateway..").should().dependOnClassesThat()
+                .resideInAnyPackage("io.vertx.core.net..", "io.vertx.mqtt..", "io.netty..").check(PRODUCT);
+    }
+}
--- a/src/test/java/opalcove/MainTest.java
+++ b/cli/src/test/java/opalcove/cli/ProgramTest.java
@@ -1,4 +1,4 @@
-package opalcove;
+package opalcove.cli;
 
 import static org.testng.Assert.assertEquals;
 import static org.testng.Assert.assertNotNull;
@@ -17,12 +17,12 @@
 import org.testng.annotations.Test;
 
 /** Starts the program as its own process. */
-public class MainTest {
+public class ProgramTest {
     private static final Path JAVA = Path.of(System.getProperty("java.home"), "bin", "java");
 
     private static List<String> program(String... arguments) {
         List<String> command = new ArrayList<>(List.of(JAVA.toString(), "-cp", System.getProperty("java.class.path"),
-                "opalcove.Main"));
+                "opalcove.cli.Opalcove"));
         command.addAll(List.of(arguments));
         return command;
     }
@@ -62,13 +62,29 @@
     public void wrongFilesAreRefused() throws Exception {
         assertTrue(run(1, "/nowhere", program("serve")).contains("opalcove: cannot read /nowhere"));
         assertTrue(run(1, "", program("mqtt", "pom.xml")).contains("opalcove: pom.xml: malformed JSON"));
-        assertTrue(run(2, "", program()).contains("usage:"));
+        assertTrue(run(2, "", program()).contains("Missing required subcommand"));
+        assertTrue(run(2, "", program("plan", "one")).contains("Missing required parameter: 'PLAN'"));
+        assertTrue(run(1, "", program("apply", "/nowhere")).contains("opalcove: java.nio.file.NoSuchFileException"));
         for (String[] wrong : new String[][] {{"127.0.0.1:7100", "127.0.0.1", "field listen"},
             {"8c1f30d27a5be964", "seed", "field seed"}, {"\"quota_rate\": 1.7", "\"quota_rate\": -1", "plan start"}}) {
             assertTrue(refused(wrong[0], wrong[1]).contains(wrong[2]), wrong[1]);
         }
     }
 
+    /** Every command tells how it is called and which version it is; the lean program knows its two. */
+    @Test
+    public void everyCommandHasHelp() throws Exception {
+        for (String command : Opalcove.commandLine().getSubcommands().keySet()) {
+            assertTrue(run(0, "", program(command, "--help")).startsWith("Usage: opalcove " + command), command);
+        }
+        assertTrue(run(0, "", program("--version")).startsWith("opalcove "));
+        List<String> lean = program();
+        lean.set(lean.size() - 1, "opalcove.Main");
+        assertTrue(run(2, "", lean).contains("usage:"));
+        lean.add("serve");
+        assertTrue(run(1, "/nowhere", lean).contains("opalcove: cannot read /nowhere"));
+    }
+
     @Test
     public void sighupMovesDiscoveryAndABadFileChangesNothing() throws Exception {
         Path config = Files.createTempFile("config", ".json");
--- a/src/test/java/opalcove/decision/PolicyTest.java
+++ b/decision/src/test/java/opalcove/decision/PolicyTest.java
@@ -816,7 +816,7 @@
 
     @Test
     void theModuleKeepsItsSize() throws Exception {
-        List<String> lines = Files.readAllLines(Path.of("src/main/java/opalcove/decision/Policy.java"));
+        List<String> lines = Files.readAllLines(Path.of("decision/src/main/java/opalcove/decision/Policy.java"));
         assertTrue(lines.stream().filter(l -> !l.isBlank()).count() <= 1000);
         assertTrue(lines.stream().allMatch(l -> l.length() <= 110));
     }
--- /dev/null
+++ b/gateway/src/main/java/opalcove/Main.java
@@ -0,0 +1,38 @@
+package opalcove;
+
+import java.io.IOException;
+import opalcove.gateway.BadSettings;
+import opalcove.platform.Serve;
+import opalcove.sim.Adapter;
+
+/**
+ * The platform's program, without what its two commands do not need: {@code serve} is one gateway, {@code adapter} the
+ * decisions on the simulator's wire. Exits with 0 when ended well, 1 when it failed and 2 for a wrong call.
+ */
+public final class Main {
+    private Main() {
+    }
+
+    public static void main(String[] args) throws IOException {
+        try {
+            switch (args.length == 1 ? args[0] : "") {
+                case "serve" -> Serve.start();
+                case "adapter" -> Adapter.onStandardStreams();
+                default -> {
+                    System.err.println("usage: java -jar opalcove-gateway.jar serve | adapter"
+                            + " (the other commands are in opalcove.jar)");
+                    System.exit(2);
+                }
+            }
+        } catch (BadSettings e) {
+            fail(e);
+        }
+    }
+
+    /** Tells what is wrong, a line each, and ends the program with 1, whatever it has started. */
+    public static void fail(BadSettings wrong) {
+        wrong.getMessage().lines().forEach(line -> System.err.println("opalcove: " + line));
+        System.err.flush();
+        Runtime.getRuntime().halt(1);
+    }
+}
--- /dev/null
+++ b/gateway/src/main/java/opalcove/platform/Serve.java
@@ -0,0 +1,58 @@
+package opalcove.platform;
+
+import io.vertx.core.Vertx;
+import java.util.concurrent.TimeUnit;
+import opalcove.gateway.BadSettings;
+import opalcove.gateway.Clock;
+import opalcove.gateway.Gateway;
+import opalcove.gateway.LinkPool;
+import opalcove.gateway.Program;
+import org.tinylog.Logger;
+
+/** The platform's gateway: RESP2 on both sides, the node list from discovery. */
+public final class Serve {
+    /** How long to wait for discovery's first answer before the list known from before must do, ms. */
+    private static final long FIRST_LIST_MS = 1000;
+    /** How long the rehearsal may take, ms; it is over sooner on a whole core. */
+    private static final long REHEARSAL_MS = 4000;
+
+    private Serve() {
+    }
+
+    /** Starts the gateway by what the platform tells; gives way at once, the program goes on by itself. */
+    public static void start() {
+        // Before anything else: unheard, SIGHUP would end the program.
+        Hangups hangups = new Hangups();
+        Config config = Config.read(System.getenv());
+        Logger.info("rehearsed {} asks", Rehearsal.play(Program.eventLoop(), config.settings(), REHEARSAL_MS));
+        Program program = new Program();
+        program.start(vertx -> {
+            LinkPool links = new LinkPool(vertx, config.settings(), new RespDialler(vertx, config.settings()),
+                    config.sockets() * 2 / 5);
+            Gateway gateway = new Gateway(vertx, new Clock(), config.settings(), config.seed(), links);
+            RespFront front = new RespFront(vertx, gateway, program.phases(), config.sockets() * 2 / 5);
+            DiscoveryWatch discovery = new DiscoveryWatch(vertx, config.discovery(), gateway::nodesTold);
+            program.atEnd(gateway, front::drain);
+            if (!config.known().isEmpty()) {
+                // An empty list would make every node of discovery's first one look newly started, and cold.
+                gateway.nodesTold(true, config.known());
+            }
+            hangups.listen(() -> reload(config, vertx, discovery));
+            discovery.start().timeout(FIRST_LIST_MS, TimeUnit.MILLISECONDS).onComplete(listed ->
+                    program.open(front.listen(config.listen())));
+        });
+    }
+
+    /** The file was replaced: discovery moves at once; a file that cannot be used leaves the old one in force. */
+    private static void reload(Config started, Vertx vertx, DiscoveryWatch discovery) {
+        try {
+            Config config = Config.read(System.getenv());
+            if (!config.settings().equals(started.settings()) || !config.listen().equals(started.listen())) {
+                Logger.warn("new settings or a new address to listen at need a restart: only discovery's is taken over");
+            }
+            vertx.runOnContext(read -> discovery.moveTo(config.discovery()));
+        } catch (BadSettings e) {
+            Logger.error("the new configuration is refused, the old stays in force: {}", e.getMessage());
+        }
+    }
+}
--- a/src/main/java/opalcove/sim/Adapter.java
+++ b/gateway/src/main/java/opalcove/sim/Adapter.java
@@ -2,7 +2,11 @@
 
 import com.eclipsesource.json.JsonObject;
 import com.eclipsesource.json.WriterConfig;
+import java.io.BufferedOutputStream;
 import java.io.BufferedReader;
+import java.io.FileDescriptor;
+import java.io.FileInputStream;
+import java.io.FileOutputStream;
 import java.io.IOException;
 import java.io.InputStream;
 import java.io.InputStreamReader;
@@ -41,6 +45,13 @@
         out = new OutputStreamWriter(output, StandardCharsets.UTF_8);
     }
 
+    /** Answers batches on standard input and output until the input ends. */
+    public static void onStandardStreams() throws IOException {
+        try (OutputStream output = new BufferedOutputStream(new FileOutputStream(FileDescriptor.out), 1 << 16)) {
+            new Adapter(new FileInputStream(FileDescriptor.in), output).run();
+        }
+    }
+
     /** Answers batches until the input ends. */
     public void run() throws IOException {
         for (String line = in.readLine(); line != null; line = in.readLine()) {
--- a/src/test/java/opalcove/ExchangeTest.java
+++ b/mqtt/src/test/java/opalcove/ExchangeTest.java
@@ -42,7 +42,7 @@
 import org.testng.annotations.Test;
 
 /**
- * Plays the recorded byte exchanges in src/test/resources/exchanges against both fronts and both kinds of links, all on
+ * Plays the recorded byte exchanges in mqtt/src/test/resources/exchanges against both fronts and both kinds of links, all on
  * one core. A line is
  * {@code PARTY > bytes} (the party sends), {@code PARTY >> bytes} (byte by byte), {@code PARTY < bytes} (the party
  * receives just these; {n} stands for digits, {any} for anything), {@code PARTY closed} (sees the end of its
@@ -55,7 +55,7 @@
  */
 public class ExchangeTest {
     private static final int PATIENCE_MS = 10_000;
-    private static final Path FOLDER = Path.of("src/test/resources/exchanges");
+    private static final Path FOLDER = Path.of("mqtt/src/test/resources/exchanges");
 
     @DataProvider
     public Object[][] exchanges() throws IOException {
