Add a load tool and a meter that counts what an ask costs

Need: nothing here could tell what an ask costs, so nothing could be made cheaper or kept so.

Change: laboratory with a stand-in app node, a load over RESP2 or MQTT (closed loop, or open loop measured from when an ask was due) and a metered gateway in a process of its own: reads, writes and waits are counted in the transport, bytes by the JVM's counter of the event loop's thread, objects by class from two views of a heap that is not collected between them.

--- /dev/null
+++ b/cli/src/main/java/opalcove/cli/LoadCommand.java
@@ -0,0 +1,33 @@
+package opalcove.cli;
+
+import java.util.concurrent.Callable;
+import opalcove.gateway.Endpoint;
+import opalcove.laboratory.Load;
+import opalcove.laboratory.LoadPlan;
+import opalcove.laboratory.LoadReport;
+import picocli.CommandLine.Command;
+import picocli.CommandLine.Mixin;
+import picocli.CommandLine.Option;
+import picocli.CommandLine.Parameters;
+
+@Command(name = "load", mixinStandardHelpOptions = true, versionProvider = Opalcove.Version.class,
+        description = "Puts load on a gateway's front and tells how its asks were answered.")
+final class LoadCommand implements Callable<Integer> {
+    @Mixin
+    private LoadOptions options;
+    @Parameters(paramLabel = "ADDRESS", description = "where the front listens, such as 127.0.0.1:7100")
+    private String address;
+    @Option(names = "--json", description = "print one object")
+    private boolean json;
+
+    @Override
+    public Integer call() throws Exception {
+        Endpoint at = Endpoint.read(address, "ADDRESS");
+        LoadPlan plan = options.plan(at.address(), at.port());
+        try (Load load = new Load(plan, System.err::println)) {
+            LoadReport report = load.run(plan.asks());
+            System.out.print(json ? report.json() + "\n" : report.table());
+            return report.failed() == 0 ? 0 : 1;
+        }
+    }
+}
--- /dev/null
+++ b/cli/src/main/java/opalcove/cli/MeterCommand.java
@@ -0,0 +1,54 @@
+package opalcove.cli;
+
+import java.util.concurrent.Callable;
+import opalcove.laboratory.LoadPlan;
+import opalcove.laboratory.Meter;
+import picocli.CommandLine.Command;
+import picocli.CommandLine.Mixin;
+import picocli.CommandLine.Option;
+
+@Command(name = "meter", mixinStandardHelpOptions = true, versionProvider = Opalcove.Version.class,
+        description = "Counts what an ask costs a gateway: allocations, calls, copies and processor time.")
+final class MeterCommand implements Callable<Integer> {
+    @Mixin
+    private LoadOptions options;
+    @Option(names = "--value", paramLabel = "BYTES", defaultValue = "16", description = "what a node answers"
+            + " (default: ${DEFAULT-VALUE})")
+    private int value;
+    @Option(names = "--nodes", paramLabel = "N", defaultValue = "12", description = "app nodes in the list"
+            + " (default: ${DEFAULT-VALUE})")
+    private int nodes;
+    @Option(names = "--work", paramLabel = "MS", defaultValue = "0", description = "time that a node takes"
+            + " (default: ${DEFAULT-VALUE})")
+    private long work;
+    @Option(names = "--warm", paramLabel = "N", defaultValue = "20000", description = "asks before the counting"
+            + " (default: ${DEFAULT-VALUE})")
+    private int warm;
+    @Option(names = "--classes", description = "tell objects by class, too")
+    private boolean classes;
+    @Option(names = "--json", description = "print one object")
+    private boolean json;
+
+    @Override
+    public Integer call() throws Exception {
+        LoadPlan plan = options.plan("127.0.0.1", 0);
+        try (Meter meter = new Meter(plan, new Meter.Nodes(nodes, value, work), warm, System.err::println)) {
+            Meter.Costs costs = meter.measure(plan.asks(), classes);
+            System.out.print(json ? costs.json() + "\n" : table(costs));
+        }
+        return 0;
+    }
+
+    private static String table(Meter.Costs costs) {
+        StringBuilder text = new StringBuilder(String.format("an ask costs: allocated %.0f bytes%s, reads %.3f, writes"
+                + " %.3f, waits %.3f, copied once more on the way out %.0f bytes, processor %.1f us%n",
+                costs.allocatedBytes(), costs.classes().isEmpty() ? "" : String.format(" in %.1f objects, timers %.3f",
+                        costs.objects(), costs.timers()), costs.reads(), costs.writes(), costs.waits(),
+                costs.copiedOutBytes(), costs.cpuUs()));
+        costs.classes().entrySet().stream()
+                .sorted((a, b) -> Double.compare(b.getValue()[1], a.getValue()[1])).limit(45).forEach(each ->
+                        text.append(String.format("%9.0f bytes %7.2f objects  %s%n", each.getValue()[1],
+                                each.getValue()[0], each.getKey())));
+        return text.append(costs.load().table()).toString();
+    }
+}
--- /dev/null
+++ b/laboratory/src/main/java/opalcove/laboratory/CountingTransport.java
@@ -0,0 +1,150 @@
+package opalcove.laboratory;
+
+import io.netty.buffer.ByteBuf;
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelFactory;
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.ChannelOutboundBuffer;
+import io.netty.channel.ChannelOutboundHandlerAdapter;
+import io.netty.channel.ChannelPromise;
+import io.netty.channel.EventLoopGroup;
+import io.netty.channel.IoHandle;
+import io.netty.channel.IoHandler;
+import io.netty.channel.IoHandlerContext;
+import io.netty.channel.IoHandlerFactory;
+import io.netty.channel.IoRegistration;
+import io.netty.channel.MultiThreadIoEventLoopGroup;
+import io.netty.channel.ServerChannel;
+import io.netty.channel.socket.nio.NioServerSocketChannel;
+import io.netty.channel.socket.nio.NioSocketChannel;
+import io.netty.util.internal.SocketUtils;
+import io.vertx.core.impl.transports.NioTransport;
+import java.nio.channels.SocketChannel;
+import java.util.List;
+import java.util.concurrent.ThreadFactory;
+
+/**
+ * Vert.x's own transport, which counts what it does at the sockets of the one event loop. The counts need no privileges;
+ * {@code meter --verify} compares them with what strace sees.
+ */
+final class CountingTransport extends NioTransport {
+    private final Counts counts;
+
+    CountingTransport(Counts counts) {
+        this.counts = counts;
+    }
+
+    @Override
+    public EventLoopGroup eventLoopGroup(int type, int threads, ThreadFactory factory, int ioRatio) {
+        IoHandlerFactory plain = ioHandlerFactory();
+        return new MultiThreadIoEventLoopGroup(threads, factory, type == IO_EVENT_LOOP_GROUP
+                ? executor -> new CountingHandler(plain.newHandler(executor)) : plain);
+    }
+
+    @Override
+    public ChannelFactory<? extends Channel> channelFactory(boolean domainSocket) {
+        return domainSocket ? super.channelFactory(true) : CountingChannel::new;
+    }
+
+    @Override
+    public ChannelFactory<? extends ServerChannel> serverChannelFactory(boolean domainSocket) {
+        return domainSocket ? super.serverChannelFactory(true) : CountingServer::new;
+    }
+
+    private final class CountingHandler implements IoHandler {
+        private final IoHandler handler;
+
+        CountingHandler(IoHandler handler) {
+            this.handler = handler;
+        }
+
+        @Override
+        public void initialize() {
+            handler.initialize();
+        }
+
+        @Override
+        public int run(IoHandlerContext context) {
+            counts.waits++;
+            return handler.run(context);
+        }
+
+        @Override
+        public void prepareToDestroy() {
+            handler.prepareToDestroy();
+        }
+
+        @Override
+        public void destroy() {
+            handler.destroy();
+        }
+
+        @Override
+        public IoRegistration register(IoHandle handle) throws Exception {
+            return handler.register(handle);
+        }
+
+        @Override
+        public void wakeup() {
+            counts.wakeups++;
+            handler.wakeup();
+        }
+
+        @Override
+        public boolean isCompatible(Class<? extends IoHandle> type) {
+            return handler.isCompatible(type);
+        }
+    }
+
+    private final class CountingServer extends NioServerSocketChannel {
+        @Override
+        protected int doReadMessages(List<Object> accepted) throws Exception {
+            SocketChannel channel = SocketUtils.accept(javaChannel());
+            if (channel == null) {
+                return 0;
+            }
+            accepted.add(new CountingChannel(this, channel));
+            return 1;
+        }
+    }
+
+    private final class CountingChannel extends NioSocketChannel {
+        CountingChannel() {
+            watchCopies();
+        }
+
+        CountingChannel(Channel parent, SocketChannel channel) {
+            super(parent, channel);
+            watchCopies();
+        }
+
+        /** What is not in direct memory is copied there by the channel before it is written. */
+        private void watchCopies() {
+            pipeline().addFirst(new ChannelOutboundHandlerAdapter() {
+                @Override
+                public void write(ChannelHandlerContext context, Object message, ChannelPromise promise) {
+                    if (message instanceof ByteBuf bytes && !bytes.isDirect()) {
+                        counts.bytesCopiedOut += bytes.readableBytes();
+                    }
+                    context.write(message, promise);
+                }
+            });
+        }
+
+        @Override
+        protected int doReadBytes(ByteBuf into) throws Exception {
+            counts.reads++;
+            int read = super.doReadBytes(into);
+            counts.bytesRead += Math.max(0, read);
+            return read;
+        }
+
+        @Override
+        protected void doWrite(ChannelOutboundBuffer out) throws Exception {
+            if (out.current() instanceof ByteBuf bytes && bytes.isReadable()) {
+                counts.writes++;
+            }
+            super.doWrite(out);
+        }
+    }
+}
--- /dev/null
+++ b/laboratory/src/main/java/opalcove/laboratory/MeteredGateway.java
@@ -0,0 +1,137 @@
+package opalcove.laboratory;
+
+import com.eclipsesource.json.Json;
+import com.eclipsesource.json.JsonObject;
+import com.sun.management.OperatingSystemMXBean;
+import com.sun.management.ThreadMXBean;
+import io.vertx.core.Future;
+import io.vertx.core.Vertx;
+import io.vertx.core.VertxOptions;
+import io.vertx.core.internal.VertxBootstrap;
+import java.io.BufferedReader;
+import java.io.FileDescriptor;
+import java.io.FileOutputStream;
+import java.io.IOException;
+import java.io.InputStreamReader;
+import java.io.PrintStream;
+import java.lang.management.GarbageCollectorMXBean;
+import java.lang.management.ManagementFactory;
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.CompletableFuture;
+import javax.management.JMException;
+import javax.management.ObjectName;
+import opalcove.decision.Admission;
+import opalcove.gateway.AppNode;
+import opalcove.gateway.Clock;
+import opalcove.gateway.Endpoint;
+import opalcove.gateway.Fields;
+import opalcove.gateway.Gateway;
+import opalcove.gateway.LinkPool;
+import opalcove.gateway.Phases;
+import opalcove.gateway.SettingsReader;
+import opalcove.mqtt.MqttFront;
+import opalcove.platform.RespDialler;
+import opalcove.platform.RespFront;
+
+/**
+ * A gateway in a process of its own that counts what its event loop does: the parts that {@code serve} and {@code mqtt}
+ * wire together, on a {@link CountingTransport}. It reads commands from standard input: {@code mark} prints the counts so
+ * far, {@code classes} what lies on the heap by class, garbage included. It ends with its input.
+ */
+public final class MeteredGateway {
+    private static final int MOST_LINKS = 2000;
+
+    private final Counts counts = new Counts();
+    private final Vertx vertx = VertxBootstrap.create().options(new VertxOptions().setEventLoopPoolSize(1)
+            .setWorkerPoolSize(1).setInternalBlockingPoolSize(1)).transport(new CountingTransport(counts)).init().vertx();
+    private final CompletableFuture<Integer> port = new CompletableFuture<>();
+    private volatile long loopThread;
+
+    private MeteredGateway() {
+    }
+
+    /** Arguments: the front, resp or mqtt; the number of app nodes in the list; their one port. */
+    public static void main(String[] args) throws Exception {
+        MeteredGateway gateway = new MeteredGateway();
+        gateway.start(args[0], Integer.parseInt(args[1]), Integer.parseInt(args[2]));
+        PrintStream out = new PrintStream(new FileOutputStream(FileDescriptor.out), true, StandardCharsets.UTF_8);
+        out.println(gateway.port.get());
+        BufferedReader in = new BufferedReader(new InputStreamReader(System.in, StandardCharsets.UTF_8));
+        for (String line = in.readLine(); line != null; line = in.readLine()) {
+            out.println(switch (line) {
+                case "classes" -> classes();
+                case "collect" -> collect();
+                default -> gateway.mark();
+            });
+        }
+        System.exit(0);
+    }
+
+    static Admission.Settings settings() {
+        try (var file = MeteredGateway.class.getResourceAsStream("settings.json")) {
+            return SettingsReader.checked(Fields.parse(new String(file.readAllBytes(), StandardCharsets.UTF_8)));
+        } catch (IOException e) {
+            throw new IllegalStateException(e);
+        }
+    }
+
+    private void start(String kind, int nodes, int nodePort) {
+        vertx.runOnContext(start -> {
+            loopThread = Thread.currentThread().getId();
+            Admission.Settings settings = settings();
+            Phases phases = new Phases();
+            Clock clock = new Clock();
+            Gateway gateway = new Gateway(vertx, clock, settings, 7,
+                    new LinkPool(vertx, settings, new RespDialler(vertx, settings), MOST_LINKS));
+            List<AppNode> list = new ArrayList<>();
+            for (int i = 0; i < nodes; i++) {
+                list.add(new AppNode(new Admission.Host("node-" + i, settings.zone(), "std-3", i, Admission.State.UP, 1,
+                        0), "127.0.0.1:" + nodePort));
+            }
+            gateway.nodesTold(true, list);
+            Endpoint any = new Endpoint("127.0.0.1", 0);
+            Future<Integer> listening = kind.equals("mqtt") ? new MqttFront(vertx, gateway, phases, clock, 1000)
+                    .listen(any) : new RespFront(vertx, gateway, phases, 1000).listen(any);
+            listening.onSuccess(port::complete).onFailure(port::completeExceptionally);
+            phases.enter(Phases.Phase.SERVING);
+        });
+    }
+
+    /** The counts as they stand between two turns of the loop, which this call adds one turn to. */
+    private String mark() throws Exception {
+        CompletableFuture<JsonObject> mark = new CompletableFuture<>();
+        vertx.runOnContext(now -> {
+            ThreadMXBean threads = (ThreadMXBean) ManagementFactory.getThreadMXBean();
+            mark.complete(Json.object().add("allocated", threads.getThreadAllocatedBytes(loopThread))
+                    .add("reads", counts.reads).add("writes", counts.writes).add("waits", counts.waits)
+                    .add("wakeups", counts.wakeups).add("read", counts.bytesRead)
+                    .add("copied_out", counts.bytesCopiedOut)
+                    .add("collections", ManagementFactory.getGarbageCollectorMXBeans().stream()
+                            .mapToLong(GarbageCollectorMXBean::getCollectionCount).sum())
+                    .add("loop_cpu_ns", threads.getThreadCpuTime(loopThread))
+                    .add("cpu_ns", ((OperatingSystemMXBean) ManagementFactory.getOperatingSystemMXBean())
+                            .getProcessCpuTime()));
+        });
+        return mark.get().toString();
+    }
+
+    /** Leaves no garbage, so that none need be collected for a while. */
+    private static String collect() {
+        System.gc();
+        return "{}";
+    }
+
+    /** Objects and bytes by class: {@code {"java.lang.String": [objects, bytes], ...}}. */
+    private static String classes() throws JMException {
+        String text = (String) ManagementFactory.getPlatformMBeanServer().invoke(
+                new ObjectName("com.sun.management:type=DiagnosticCommand"), "gcClassHistogram",
+                new Object[] {new String[] {"-all"}}, new String[] {String[].class.getName()});
+        JsonObject classes = Json.object();
+        text.lines().map(line -> line.strip().split("\\s+")).filter(words -> words.length >= 4
+                && words[0].endsWith(":")).forEach(words -> classes.set(words[3], Json.array()
+                        .add(Long.parseLong(words[1])).add(Long.parseLong(words[2]))));
+        return classes.toString();
+    }
+}
--- /dev/null
+++ b/laboratory/src/main/java/opalcove/laboratory/RespWire.java
@@ -0,0 +1,92 @@
+package opalcove.laboratory;
+
+import io.netty.buffer.ByteBuf;
+import io.netty.buffer.ByteBufUtil;
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.handler.codec.ByteToMessageDecoder;
+import java.nio.charset.StandardCharsets;
+import java.util.List;
+import java.util.concurrent.CompletableFuture;
+
+/** A terminal's side of RESP2: answers come in the order of the asks. */
+final class RespWire extends ByteToMessageDecoder implements Load.Wire {
+    private static final int MOST_OUT = 1 << 16;
+
+    private final Asks asks;
+    private final Load.Answers answers;
+    private final byte[] body;
+    private final long[] startedAt = new long[MOST_OUT];
+    private final Load.Answer[] came = new Load.Answer[MOST_OUT];
+    private final long[] cameStartedAt = new long[MOST_OUT];
+    private int out;
+    private int answered;
+    private int number;
+
+    private RespWire(Asks asks, Load.Answers answers) {
+        this.asks = asks;
+        this.answers = answers;
+        body = asks.body();
+    }
+
+    static void open(Channel channel, Asks asks, Load.Answers answers, CompletableFuture<Load.Wire> ready) {
+        RespWire wire = new RespWire(asks, answers);
+        channel.pipeline().addLast(wire);
+        ready.complete(wire);
+    }
+
+    @Override
+    public void ask(Channel channel, long n, long started) {
+        startedAt[out++ & MOST_OUT - 1] = started;
+        boolean record = asks.record(n);
+        String marks = (record ? "c=swap-record,k=" + asks.key(n) : "c=slot-status") + ",t=" + asks.operatorsPlan(n)
+                + ",d=" + asks.waitMs() + ",units=1,spread=1,first=0";
+        ByteBuf bytes = channel.alloc().directBuffer(160 + (record ? body.length : 0));
+        ByteBufUtil.writeAscii(bytes, record ? "*5\r\n$10\r\nSVC.SUBMIT\r\n$16\r\n" : "*4\r\n$9\r\nSVC.QUERY\r\n$16\r\n");
+        ByteBufUtil.writeAscii(bytes, asks.operator(n) + "\r\n$16\r\n" + asks.id(n) + "\r\n$" + marks.length() + "\r\n"
+                + marks + "\r\n");
+        if (record) {
+            ByteBufUtil.writeAscii(bytes, "$" + body.length + "\r\n");
+            bytes.writeBytes(body);
+            ByteBufUtil.writeAscii(bytes, "\r\n");
+        }
+        channel.write(bytes);
+    }
+
+    @Override
+    protected void decode(ChannelHandlerContext context, ByteBuf in, List<Object> found) {
+        int start = in.readerIndex();
+        char kind = (char) in.getByte(start);
+        if (kind == '$') {
+            int length = AppNodeStandIn.number(in, '$');
+            if (length < 0 || in.readableBytes() < length + 2) {
+                in.readerIndex(start);
+                return;
+            }
+            in.skipBytes(length + 2);
+            came(Load.Answer.SERVED);
+        } else {
+            int end = in.indexOf(start, in.writerIndex(), (byte) '\n');
+            if (end >= 0) {
+                boolean busy = in.toString(start, Math.min(5, end - start), StandardCharsets.US_ASCII).equals("-BUSY");
+                in.readerIndex(end + 1);
+                came(busy ? Load.Answer.REFUSED : Load.Answer.FAILED);
+            }
+        }
+    }
+
+    private void came(Load.Answer answer) {
+        came[number] = answer;
+        cameStartedAt[number++] = startedAt[answered++ & MOST_OUT - 1];
+    }
+
+    @Override
+    public void channelReadComplete(ChannelHandlerContext context) throws Exception {
+        super.channelReadComplete(context);
+        if (number > 0) {
+            int all = number;
+            number = 0;
+            answers.take(context.channel(), came, cameStartedAt, all);
+        }
+    }
+}
