--- a/cli/src/test/java/opalcove/cli/LayersTest.java
+++ b/cli/src/test/java/opalcove/cli/LayersTest.java
@@ -42,6 +42,7 @@
     @Test
     public void theCoreKnowsNoWire() {
         noClasses().that().resideInAPackage("opalcove.gateway..").should().dependOnClassesThat()
-                .resideInAnyPackage("io.vertx.core.net..", "io.vertx.mqtt..", "io.netty..").check(PRODUCT);
+                .resideInAnyPackage("io.vertx.core.net..", "io.vertx.mqtt..", "io.netty.channel..",
+                        "io.netty.handler..", "io.netty.buffer..").check(PRODUCT);
     }
 }
--- a/gateway/src/main/java/opalcove/gateway/Alarms.java
+++ b/gateway/src/main/java/opalcove/gateway/Alarms.java
@@ -1,33 +1,27 @@
 package opalcove.gateway;
 
 import io.vertx.core.Vertx;
-import java.util.Comparator;
-import java.util.PriorityQueue;
+import java.util.Arrays;
 
 /**
- * Many alarms on one timer of Vert.x. Nearly all are cancelled before they are due; here that costs next to nothing,
- * and the event loop is woken only for those that are not.
+ * Many alarms on one timer of Vert.x. Nearly all are cancelled before they are due, and then leave the queue at once:
+ * it holds what is set and no more. The event loop is woken only for the earliest. A binary heap in which each alarm
+ * knows its place, so that setting and cancelling take O(log n) of the alarms that are set.
  */
 final class Alarms {
-    /** An alarm that was set. */
-    static final class Alarm {
-        private final double due;
-        private Runnable action;
+    /** Something to be done at its time, set once. */
+    abstract static class Alarm {
+        private double due;
+        private int place = -1;
 
-        private Alarm(double due, Runnable action) {
-            this.due = due;
-            this.action = action;
-        }
-
-        /** It will not go off; what it held is let go at once. */
-        void cancel() {
-            action = null;
-        }
+        /** Its time has come. */
+        abstract void ring();
     }
 
     private final Vertx vertx;
     private final Clock clock;
-    private final PriorityQueue<Alarm> queue = new PriorityQueue<>(Comparator.comparingDouble(alarm -> alarm.due));
+    private Alarm[] heap = new Alarm[64];
+    private int size;
     private double armedFor = Double.MAX_VALUE;
     private long timer = -1;
 
@@ -36,36 +30,93 @@
         this.clock = clock;
     }
 
-    /** Runs the action once, never before this call has returned. */
-    Alarm set(double afterMs, Runnable action) {
-        Alarm alarm = new Alarm(clock.now() + afterMs, action);
-        queue.add(alarm);
+    /** Rings the alarm once, never before this call has returned. */
+    void set(double afterMs, Alarm alarm) {
+        setAt(clock.now() + afterMs, alarm);
+    }
+
+    /** Rings the alarm once, at that time of the clock or as soon after as may be. */
+    void setAt(double due, Alarm alarm) {
+        alarm.due = due;
+        if (size == heap.length) {
+            heap = Arrays.copyOf(heap, 2 * size);
+        }
+        rise(alarm, size++);
         arm();
-        return alarm;
     }
 
-    private void arm() {
-        while (!queue.isEmpty() && queue.peek().action == null) {
-            queue.poll();
+    /** It will not ring; one that has rung or is not set stays as it is. */
+    void cancel(Alarm alarm) {
+        if (alarm.place < 0) {
+            return;
+        }
+        int place = alarm.place;
+        alarm.place = -1;
+        Alarm last = heap[--size];
+        heap[size] = null;
+        if (last != alarm) {
+            sink(last, place);
+            if (heap[place] == last) {
+                rise(last, place);
+            }
+        }
+        if (heap.length > 64 && size < heap.length / 4) {
+            heap = Arrays.copyOf(heap, heap.length / 2);
         }
-        if (queue.isEmpty() || queue.peek().due >= armedFor) {
+    }
+
+    /** How many are set. */
+    int size() {
+        return size;
+    }
+
+    private void rise(Alarm alarm, int from) {
+        int place = from;
+        while (place > 0 && heap[(place - 1) / 2].due > alarm.due) {
+            put(heap[(place - 1) / 2], place);
+            place = (place - 1) / 2;
+        }
+        put(alarm, place);
+    }
+
+    private void sink(Alarm alarm, int from) {
+        int place = from;
+        for (int child = 2 * place + 1; child < size; child = 2 * place + 1) {
+            if (child + 1 < size && heap[child + 1].due < heap[child].due) {
+                child++;
+            }
+            if (heap[child].due >= alarm.due) {
+                break;
+            }
+            put(heap[child], place);
+            place = child;
+        }
+        put(alarm, place);
+    }
+
+    private void put(Alarm alarm, int place) {
+        heap[place] = alarm;
+        alarm.place = place;
+    }
+
+    private void arm() {
+        if (size == 0 || heap[0].due >= armedFor) {
             return;
         }
         if (armedFor < Double.MAX_VALUE) {
             vertx.cancelTimer(timer);
         }
-        armedFor = queue.peek().due;
+        armedFor = heap[0].due;
         timer = vertx.setTimer(Math.max(1, (long) Math.ceil(armedFor - clock.now())), fired -> ring());
     }
 
     private void ring() {
         armedFor = Double.MAX_VALUE;
         double now = clock.now();
-        while (!queue.isEmpty() && (queue.peek().action == null || queue.peek().due <= now)) {
-            Runnable action = queue.poll().action;
-            if (action != null) {
-                action.run();
-            }
+        while (size > 0 && heap[0].due <= now) {
+            Alarm next = heap[0];
+            cancel(next);
+            next.ring();
         }
         arm();
     }
--- a/gateway/src/main/java/opalcove/gateway/AskRules.java
+++ b/gateway/src/main/java/opalcove/gateway/AskRules.java
@@ -2,6 +2,7 @@
 
 import java.util.HashMap;
 import java.util.HashSet;
+import java.util.List;
 import java.util.Map;
 import java.util.Set;
 import opalcove.decision.Admission;
@@ -27,6 +28,16 @@
         mostUnits = settings.limits().mostUnits();
     }
 
+    /** The names of the classes, for a front that reads them from bytes. */
+    public List<String> classNames() {
+        return List.copyOf(classes.keySet());
+    }
+
+    /** The names of the plans. */
+    public List<String> planNames() {
+        return List.copyOf(plans);
+    }
+
     /** The class of that name. */
     public Admission.RequestClass requestClass(String name) throws Marks.Unfit {
         Admission.RequestClass known = classes.get(name);
@@ -48,11 +59,20 @@
                 && ask.firstGateway() < gateways, "the operator's gateways are out of range");
         need((ask.key() == null) != (known.effect() == Admission.Effect.KEYED), "a key for a class without, or none");
         // A comma would end the key on the wire to an app node.
-        need(ask.key() == null || ask.key().length() <= LONGEST_KEY
-                && ask.key().chars().allMatch(c -> c > ' ' && c <= '~' && c != ','), "the key cannot be passed on");
+        need(ask.key() == null || ask.key().length() <= LONGEST_KEY && passesOn(ask.key()),
+                "the key cannot be passed on");
         return ask;
     }
 
+    private static boolean passesOn(String key) {
+        for (int i = 0; i < key.length(); i++) {
+            if (key.charAt(i) <= ' ' || key.charAt(i) > '~' || key.charAt(i) == ',') {
+                return false;
+            }
+        }
+        return true;
+    }
+
     private static void need(boolean holds, String otherwise) throws Marks.Unfit {
         if (!holds) {
             throw new Marks.Unfit(otherwise);
--- a/gateway/src/main/java/opalcove/gateway/Gateway.java
+++ b/gateway/src/main/java/opalcove/gateway/Gateway.java
@@ -1,7 +1,9 @@
 package opalcove.gateway;
 
-import io.vertx.core.Future;
+import io.netty.util.collection.LongObjectHashMap;
+import io.netty.util.collection.LongObjectMap;
 import io.vertx.core.Vertx;
+import io.vertx.core.buffer.Buffer;
 import java.util.ArrayDeque;
 import java.util.HashMap;
 import java.util.List;
@@ -25,7 +27,7 @@
 
     private final Clock clock;
     private final Alarms alarms;
-    private final Map<Long, Alarms.Alarm> wakes = new HashMap<>();
+    private final LongObjectMap<Wake> wakes = new LongObjectHashMap<>();
     private final Admission.Settings settings;
     private final NodeLinks links;
     private final NodeList nodes = new NodeList();
@@ -47,38 +49,66 @@
         module = new Policy(clock.now(), settings, seed, new Decisions());
     }
 
-    /** The life of one ask, from top to bottom. The answer fails only where the terminal left and none is owed. */
-    public Future<Answer> serve(Ask ask, Future<Void> terminalLeft) {
+    /** Who asked: the front's side of one ask. */
+    public interface Asker {
+        /** The one final answer. Its value is lent: it holds for the time of this call, and who keeps it copies it. */
+        void answered(Answer answer);
+
+        /** The ask is over and nothing of it will be written any more: what it holds may be let go. */
+        default void settled() { }
+    }
+
+    /** An ask that is taken and has no answer yet. */
+    public interface UnderWay {
+        /** Its terminal has left and is owed nothing any more. */
+        void leave();
+    }
+
+    /**
+     * The life of one ask, from top to bottom. It is checked and taken; the module chooses ({@link Decisions}): a final
+     * answer ends it, a node gets an attempt ({@link #attempt}), after whose end ({@link #attemptEnded}) the module
+     * chooses again. Gives null where the answer was given at once.
+     */
+    public UnderWay serve(Ask ask, Asker asker) {
         counters.taken++;
         Admission.RequestClass requestClass;
         try {
             requestClass = rules.requestClass(rules.check(ask).requestClass());
         } catch (Marks.Unfit e) {
-            return count(Future.succeededFuture(new Answer.Failed(e.getMessage())));
+            return answerAtOnce(asker, new Answer.Failed(e.getMessage()));
         }
         if (lives.containsKey(ask.id())) {
             // Guards an open ask against another terminal that names its id: it is neither joined, answered nor ended.
-            return count(Future.succeededFuture(new Answer.Failed("this id is under way")));
+            return answerAtOnce(asker, new Answer.Failed("this id is under way"));
         }
         if (lives.size() >= settings.limits().maxOpen()) {
             // Guards memory and descriptors against more open asks than this machine can hold.
-            return count(Future.succeededFuture(new Answer.Refused((long) settings.limits().maxRetryAfterMs())));
+            return answerAtOnce(asker, new Answer.Refused((long) settings.limits().maxRetryAfterMs()));
         }
-        Life life = take(ask, requestClass);
-        terminalLeft.onComplete(left -> leave(life));
-        return count(askModule(life)
-                .compose(step -> follow(life, step))
-                .onComplete(answered -> close(life)));
+        Life life = take(ask, requestClass, asker);
+        askModule(life);
+        return life.over ? null : life;
     }
 
-    /** Does what the module chose, asks it again after each attempt, and ends with the final answer. */
-    private Future<Answer> follow(Life life, Life.Step step) {
+    private UnderWay answerAtOnce(Asker asker, Answer answer) {
+        count(answer);
+        asker.answered(answer);
+        asker.settled();
+        return null;
+    }
+
+    /** Does what the module chose; what it chooses for a life that is over has no effect. */
+    private void follow(Life life, Life.Step step) {
+        if (life.over) {
+            return;
+        }
         if (step instanceof Life.Step.Final end) {
-            return Future.succeededFuture(end.answer());
+            close(life);
+            count(end.answer());
+            life.finish(end.answer());
+        } else {
+            attempt(life, (Life.Step.SendTo) step);
         }
-        Future<Life.Step> next = life.nextStep();
-        attempt(life, (Life.Step.SendTo) step).onSuccess(end -> askAgain(life, end));
-        return next.compose(chosen -> follow(life, chosen));
     }
 
     /** What an ask must be like; a front reads it by these rules before it has it served. */
@@ -86,80 +116,83 @@
         return rules;
     }
 
-    private Life take(Ask ask, Admission.RequestClass requestClass) {
-        Life life = new Life(ask, requestClass, clock.now());
+    private Life take(Ask ask, Admission.RequestClass requestClass, Asker asker) {
+        Life life = new Life(this, ask, requestClass, asker, clock.now());
         lives.put(ask.id(), life);
-        life.deadline = alarms.set(ask.waitMs() - GUARD_MARGIN_MS, () -> overdue(life));
+        alarms.set(ask.waitMs() - GUARD_MARGIN_MS, life.deadline());
         return life;
     }
 
-    private Future<Life.Step> askModule(Life life) {
+    private void askModule(Life life) {
         Ask ask = life.ask;
-        Future<Life.Step> first = life.nextStep();
         tell(() -> module.request(clock.now(), new Admission.Request(ask.id(), ask.requestClass(), ask.plan(),
                 ask.operator(), ask.units(), Math.max(1, ask.waitMs() - ANSWER_MARGIN_MS), ask.gateways(),
                 ask.retry())));
-        return first;
     }
 
     /** One attempt: made if the rules allow it, else ended as not sent. */
-    private Future<Ended> attempt(Life life, Life.Step.SendTo step) {
+    private void attempt(Life life, Life.Step.SendTo step) {
         double now = clock.now();
-        int number = life.tries.size();
         String objection = guards.objection(life, step.node(), now);
-        Life.Try attempt = new Life.Try(objection == null ? nodes.open(step.node()) : null, now);
+        Life.Try attempt = life.new Try(objection == null ? nodes.open(step.node()) : null, now);
         life.tries.add(attempt);
         if (objection != null) {
             counters.guarded++;
             Logger.warn("{} is not sent to {}: {}", life.ask.id(), step.node(), objection);
-            attempt.result = Admission.Result.NOT_SENT;
-            return Future.succeededFuture(new Ended(number, step.node(), NodeEnd.silent(Admission.Result.NOT_SENT)));
+            tellEnd(life, attempt, step.node(), NodeEnd.silent(Admission.Result.NOT_SENT));
+            return;
         }
         counters.attempts++;
         double left = life.takenAt + life.ask.waitMs() - now;
         attempt.running = links.attempt(attempt.node, life.ask, step.timeoutMs() > 0 ? Math.min(left, step.timeoutMs())
-                : left);
-        return attempt.running.end().map(end -> {
-            attempt.result = end.result();
-            counters.ended(end.result());
-            return new Ended(number, step.node(), end);
-        });
+                : left, attempt);
     }
 
-    private record Ended(int number, String node, NodeEnd end) { }
+    /** An attempt was made and has ended. */
+    void attemptEnded(Life life, Life.Try attempt, NodeEnd end) {
+        counters.ended(end.result());
+        tellEnd(life, attempt, attempt.node.name(), end);
+    }
 
     /** Tells the module how an attempt ended. A served value is final; else the module's next step follows. */
-    private void askAgain(Life life, Ended ended) {
-        NodeEnd end = ended.end();
+    private void tellEnd(Life life, Life.Try attempt, String node, NodeEnd end) {
+        attempt.result = end.result();
         boolean served = end.result() == Admission.Result.SERVED;
+        // Guards a lent value against being looked at when its time is over: this turn may be taken later.
+        Buffer value = served && inTurn ? end.value().copy() : end.value();
         double now = clock.now();
         tell(() -> {
             boolean first = served && !life.over;
             if (first) {
-                life.decide(new Life.Step.Final(new Answer.Served(end.value())));
+                follow(life, new Life.Step.Final(new Answer.Served(value)));
             }
-            module.outcome(now, new Admission.Outcome(life.ask.id(), ended.node(), ended.number(), end.result(),
-                    now - life.tries.get(ended.number()).sentAt, life.over, end.usedPercent(),
-                    first ? end.trueUnits() : 0, end.load()));
+            module.outcome(now, new Admission.Outcome(life.ask.id(), node, attempt.number, end.result(),
+                    now - attempt.sentAt, life.over, end.usedPercent(), first ? end.trueUnits() : 0, end.load()));
+            life.settleIfDone();
         });
     }
 
     /** Guards the promise of one answer in time against a module that holds an ask too long. */
-    private void overdue(Life life) {
+    void overdue(Life life) {
         if (life.over) {
             return;
         }
         counters.overdue++;
         Logger.error("{} had no answer at its deadline", life.ask.id());
-        end(life, () -> life.decide(new Life.Step.Final(new Answer.Failed("deadline"))));
+        end(life, () -> follow(life, new Life.Step.Final(new Answer.Failed("deadline"))));
     }
 
-    private void leave(Life life) {
+    void leave(Life life) {
         if (life.over) {
             return;
         }
         counters.left++;
-        end(life, life::abandon);
+        end(life, () -> {
+            if (!life.over) {
+                close(life);
+                life.finish(null);
+            }
+        });
     }
 
     /** Has the module give up the life's attempts, which needs its ledger, and only then closes the ledger. */
@@ -171,20 +204,18 @@
     }
 
     private void close(Life life) {
-        life.deadline.cancel();
+        alarms.cancel(life.deadline());
         lives.remove(life.ask.id(), life);
     }
 
-    private Future<Answer> count(Future<Answer> answer) {
-        return answer.onSuccess(each -> {
-            if (each instanceof Answer.Served) {
-                counters.served++;
-            } else if (each instanceof Answer.Refused) {
-                counters.refused++;
-            } else {
-                counters.failed++;
-            }
-        });
+    private void count(Answer answer) {
+        if (answer instanceof Answer.Served) {
+            counters.served++;
+        } else if (answer instanceof Answer.Refused) {
+            counters.refused++;
+        } else {
+            counters.failed++;
+        }
     }
 
     /** Takes in the node list, whole or its changed lines. */
@@ -242,7 +273,7 @@
         private void decide(String id, Life.Step step) {
             Life life = lives.get(id);
             if (life != null) {
-                turns.add(() -> life.decide(step));
+                turns.add(() -> Gateway.this.follow(life, step));
             }
         }
 
@@ -280,17 +311,16 @@
 
         @Override
         public void wake(long token, double afterMs) {
-            wakes.put(token, alarms.set(afterMs, () -> {
-                wakes.remove(token);
-                tell(() -> module.timer(clock.now(), token));
-            }));
+            Wake wake = new Wake(token);
+            wakes.put(token, wake);
+            alarms.set(afterMs, wake);
         }
 
         @Override
         public void forget(long token) {
-            Alarms.Alarm alarm = wakes.remove(token);
-            if (alarm != null) {
-                alarm.cancel();
+            Wake wake = wakes.remove(token);
+            if (wake != null) {
+                alarms.cancel(wake);
             }
         }
 
@@ -309,4 +339,19 @@
             Logger.info(line);
         }
     }
+
+    /** An alarm of the module. */
+    private final class Wake extends Alarms.Alarm {
+        private final long token;
+
+        Wake(long token) {
+            this.token = token;
+        }
+
+        @Override
+        void ring() {
+            wakes.remove(token);
+            tell(() -> module.timer(clock.now(), token));
+        }
+    }
 }
--- a/gateway/src/main/java/opalcove/gateway/Life.java
+++ b/gateway/src/main/java/opalcove/gateway/Life.java
@@ -1,13 +1,11 @@
 package opalcove.gateway;
 
-import io.vertx.core.Future;
-import io.vertx.core.Promise;
 import java.util.ArrayList;
 import java.util.List;
 import opalcove.decision.Admission;
 
-/** The ledger of one ask: its attempts, the module's next step for it, and its final answer. */
-final class Life {
+/** The ledger of one ask: its attempts, whether it is over, and who waits for its answer. */
+final class Life implements Gateway.UnderWay {
     /** What the module wants done next. */
     sealed interface Step {
         /** An attempt at a node. */
@@ -18,8 +16,9 @@
     }
 
     /** One attempt, in the module's numbering. */
-    static final class Try {
+    final class Try implements NodeLinks.Ended {
         final AppNode node;
+        final int number;
         final double sentAt;
         NodeLinks.Attempt running;
         Admission.Result result;
@@ -27,10 +26,16 @@
         Try(AppNode node, double sentAt) {
             this.node = node;
             this.sentAt = sentAt;
+            number = tries.size();
         }
 
         boolean ranMaybe() {
-            return node != null && (result == null || !result.neverRan);
+            return result == null || !result.neverRan;
+        }
+
+        @Override
+        public void ended(NodeEnd end) {
+            gateway.attemptEnded(Life.this, this, end);
         }
     }
 
@@ -39,43 +44,68 @@
     final double takenAt;
     final List<Try> tries = new ArrayList<>(2);
     boolean over;
-    Alarms.Alarm deadline;
-    private Promise<Step> step = Promise.promise();
+    private final Gateway gateway;
+    private final Gateway.Asker asker;
+    private final Alarms.Alarm deadline;
+    private boolean settled;
 
-    Life(Ask ask, Admission.RequestClass requestClass, double takenAt) {
+    Life(Gateway gateway, Ask ask, Admission.RequestClass requestClass, Gateway.Asker asker, double takenAt) {
+        this.gateway = gateway;
         this.ask = ask;
         this.requestClass = requestClass;
+        this.asker = asker;
         this.takenAt = takenAt;
+        deadline = new Alarms.Alarm() {
+            @Override
+            void ring() {
+                gateway.overdue(Life.this);
+            }
+        };
     }
 
-    /** The module's next step, whenever it comes. */
-    Future<Step> nextStep() {
-        return step.future();
+    Alarms.Alarm deadline() {
+        return deadline;
     }
 
-    /** Hands over a step; the first final one ends the life, what comes later has no effect. */
-    void decide(Step next) {
-        if (over) {
-            return;
-        }
-        over = next instanceof Step.Final;
-        Promise<Step> waiting = step;
-        step = Promise.promise();
-        waiting.complete(next);
+    /** The terminal has left: nobody waits for an answer any more. */
+    @Override
+    public void leave() {
+        gateway.leave(this);
     }
 
-    /** The terminal left: nobody waits for a step any more. */
-    void abandon() {
+    /** Ends the life with an answer, or with none for a terminal that left. */
+    void finish(Answer answer) {
         over = true;
-        step.tryFail("the terminal has left");
+        if (answer != null) {
+            asker.answered(answer);
+        }
+        settleIfDone();
+    }
+
+    /** Lets go of the ask once it is over and no attempt is out that could still be written. */
+    void settleIfDone() {
+        if (over && !settled && !attemptOut()) {
+            settled = true;
+            asker.settled();
+        }
     }
 
     boolean attemptOut() {
-        return tries.stream().anyMatch(t -> t.result == null);
+        for (int i = 0; i < tries.size(); i++) {
+            if (tries.get(i).result == null) {
+                return true;
+            }
+        }
+        return false;
     }
 
     /** The first attempt that may have run, or null. */
     Try ranFirst() {
-        return tries.stream().filter(Try::ranMaybe).findFirst().orElse(null);
+        for (int i = 0; i < tries.size(); i++) {
+            if (tries.get(i).ranMaybe()) {
+                return tries.get(i);
+            }
+        }
+        return null;
     }
 }
--- a/gateway/src/main/java/opalcove/gateway/LinkPool.java
+++ b/gateway/src/main/java/opalcove/gateway/LinkPool.java
@@ -1,15 +1,13 @@
 package opalcove.gateway;
 
 import io.vertx.core.Future;
-import io.vertx.core.Promise;
+import io.vertx.core.Handler;
 import io.vertx.core.Vertx;
 import java.util.ArrayDeque;
-import java.util.ArrayList;
 import java.util.Deque;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
-import java.util.function.Consumer;
 import opalcove.decision.Admission;
 import org.tinylog.Logger;
 
@@ -25,8 +23,10 @@
     private static final double IDLE_PART = 0.5;
     private static final double IDLE_DEFAULT_MS = 10_000;
     private static final long SWEEP_MS = 1000;
-    /** How often the lines that just carried an answer are looked at, ms. */
-    private static final long SETTLE_MS = 10;
+    /** How long a line that carried an answer is listened to before it is used again, ns. */
+    private static final long REST_NS = 10_000_000;
+    /** How often it is seen whether lines wait for that and no answers come, ms. */
+    private static final long SETTLE_MS = 50;
 
     /**
      * How long each attempt gets a line of its own after a used line has broken under one. Guards against nodes, and
@@ -42,16 +42,26 @@
 
     /** One connection to an app node. */
     public interface Line {
-        /**
-         * Names who hears of the node's reply to an attempt and, once, of the end of the connection. What cannot be read
-         * ends the line: that attempt may have run.
-         */
-        void attach(Consumer<NodeEnd> replies, Runnable closed);
+        /** Names who hears of what comes of this line. */
+        void attach(User user);
 
-        /** Sends an attempt; succeeds once its last byte is written. */
-        Future<Void> send(Ask ask, double waitMs);
+        /** Sends an attempt, by the end of this turn of the event loop. */
+        void send(Ask ask, double waitMs);
 
+        /** Ends the connection; an attempt whose bytes still wait for the end of this turn is not sent any more. */
         void close();
+
+        /** Hears of a line. */
+        interface User {
+            /** The node's reply to an attempt. What cannot be read ends the line: that attempt may have run. */
+            void replied(NodeEnd end);
+
+            /** The attempt's last byte was not written and never will be: its node cannot have run it. */
+            void unwritten();
+
+            /** The connection has ended; comes once, and last. */
+            void gone();
+        }
     }
 
     private final Dialler dialler;
@@ -60,8 +70,13 @@
     private final Vertx vertx;
     /** By node; a shelf leaves with its node. */
     private final Map<String, Shelf> shelves = new HashMap<>();
-    private List<Link> settling = new ArrayList<>();
-    private List<Link> settledOnce = new ArrayList<>();
+    /** Lines that carried an answer of late, the earliest first. */
+    private final Deque<Link> settling = new ArrayDeque<>();
+    private final Handler<Void> turnEnd = ended -> turnEnded();
+    private long lastTurnEnd = System.nanoTime();
+    private long readUpTo = lastTurnEnd;
+    private boolean turnMarked;
+    private boolean watching;
     private int links;
     private boolean distrusted;
     private long brokeAt;
@@ -76,9 +91,13 @@
     }
 
     @Override
-    public Attempt attempt(AppNode node, Ask ask, double waitMs) {
-        Carried attempt = new Carried(ask, waitMs);
-        Shelf shelf = shelves.computeIfAbsent(node.name(), name -> new Shelf());
+    public Attempt attempt(AppNode node, Ask ask, double waitMs, Ended ended) {
+        Carried attempt = new Carried(ask, waitMs, ended);
+        Shelf shelf = shelves.get(node.name());
+        if (shelf == null) {
+            shelf = new Shelf();
+            shelves.put(node.name(), shelf);
+        }
         if (!shelf.idle.isEmpty()) {
             attempt.sendOn(shelf.idle.pollFirst());
         } else if (links >= most) {
@@ -86,18 +105,22 @@
             attempt.finish(NodeEnd.silent(Admission.Result.UNREACHABLE));
         } else {
             links++;
-            dial(node.address()).onComplete(dialled -> {
-                if (dialled.failed()) {
-                    links--;
-                    attempt.finish(NodeEnd.silent(Admission.Result.UNREACHABLE));
-                } else {
-                    attempt.dialled(new Link(dialled.result(), shelf));
-                }
-            });
+            dial(node, shelf, attempt);
         }
         return attempt;
     }
 
+    private void dial(AppNode node, Shelf shelf, Carried attempt) {
+        dial(node.address()).onComplete(dialled -> {
+            if (dialled.failed()) {
+                links--;
+                attempt.finish(NodeEnd.silent(Admission.Result.UNREACHABLE));
+            } else {
+                attempt.dialled(new Link(dialled.result(), shelf));
+            }
+        });
+    }
+
     /** Guards the ask against a node list that gives no usable address: that node cannot be reached. */
     private Future<Line> dial(String address) {
         try {
@@ -148,23 +171,54 @@
     }
 
     /**
-     * Guards the next attempt against bytes that follow an answer (a second copy, noise): a line is used again only
-     * after two of these turns. Between them the event loop has read what had come by then, and what comes while a
-     * line rests closes it.
+     * Guards the next attempt against bytes that follow an answer (a second copy, noise): a line is used again only once
+     * all that came within 10 ms of its answer has been read; what comes while a line rests closes it. That much is known
+     * without a timer while answers come: all that had come before the end of one turn of the event loop that brought an
+     * answer is read in the next turn, before that one's end. Where no more answers come, two timers tell the same.
      */
     private void settle(Link link) {
-        if (settling.isEmpty() && settledOnce.isEmpty()) {
-            vertx.setTimer(SETTLE_MS, due -> settleTurn());
-        }
+        link.answeredAt = System.nanoTime();
         settling.add(link);
+        if (!turnMarked) {
+            turnMarked = true;
+            // Runs after all that this turn had to read.
+            vertx.runOnContext(turnEnd);
+        }
+        if (!watching) {
+            watching = true;
+            vertx.setTimer(SETTLE_MS, due -> settleWithoutAnswers(readUpTo));
+        }
+    }
+
+    private void turnEnded() {
+        turnMarked = false;
+        readUpTo(lastTurnEnd);
+        lastTurnEnd = System.nanoTime();
     }
 
-    private void settleTurn() {
-        settledOnce.forEach(Link::rest);
-        settledOnce = settling;
-        settling = new ArrayList<>();
-        if (!settledOnce.isEmpty()) {
-            vertx.setTimer(SETTLE_MS, due -> settleTurn());
+    private void settleWithoutAnswers(long before) {
+        watching = !settling.isEmpty();
+        if (watching && readUpTo == before) {
+            long now = System.nanoTime();
+            // By the time that a timer set now is due, the loop has read once more.
+            vertx.setTimer(1, due -> {
+                readUpTo(now);
+                watching = false;
+                if (!settling.isEmpty()) {
+                    watching = true;
+                    vertx.setTimer(SETTLE_MS, again -> settleWithoutAnswers(readUpTo));
+                }
+            });
+        } else if (watching) {
+            vertx.setTimer(SETTLE_MS, due -> settleWithoutAnswers(readUpTo));
+        }
+    }
+
+    /** All that had come by then has been read. */
+    private void readUpTo(long time) {
+        readUpTo = Math.max(readUpTo, time);
+        while (!settling.isEmpty() && settling.peekFirst().answeredAt + REST_NS <= readUpTo) {
+            settling.pollFirst().rest();
         }
     }
 
@@ -175,21 +229,23 @@
     }
 
     /** A line and the attempt that it carries. */
-    private final class Link {
+    private final class Link implements Line.User {
         final Line line;
         final Shelf shelf;
         Carried user;
         long idleSince;
+        long answeredAt;
         boolean used;
         boolean ended;
 
         Link(Line line, Shelf shelf) {
             this.line = line;
             this.shelf = shelf;
-            line.attach(this::replied, this::gone);
+            line.attach(this);
         }
 
-        private void replied(NodeEnd end) {
+        @Override
+        public void replied(NodeEnd end) {
             Carried done = user;
             if (done == null) {
                 // Guards the next attempt against an answer that belongs to none.
@@ -215,7 +271,15 @@
             }
         }
 
-        private void gone() {
+        @Override
+        public void unwritten() {
+            if (user != null) {
+                user.unwritten = true;
+            }
+        }
+
+        @Override
+        public void gone() {
             ended = true;
             links--;
             shelf.idle.remove(this);
@@ -230,17 +294,19 @@
 
     /** One attempt on one line. */
     private static final class Carried implements Attempt {
-        private final Promise<NodeEnd> end = Promise.promise();
+        private final Ended waiting;
         private final Ask ask;
         private final double waitMs;
         private final long startedAt = System.nanoTime();
         private Link link;
         private boolean unwritten;
         private boolean givenUp;
+        private boolean ended;
 
-        Carried(Ask ask, double waitMs) {
+        Carried(Ask ask, double waitMs, Ended waiting) {
             this.ask = ask;
             this.waitMs = waitMs;
+            this.waiting = waiting;
         }
 
         void dialled(Link fresh) {
@@ -255,7 +321,7 @@
             link = free;
             link.user = this;
             double left = waitMs - (System.nanoTime() - startedAt) / 1e6;
-            link.line.send(ask, Math.max(1, left)).onFailure(cut -> unwritten = true);
+            link.line.send(ask, Math.max(1, left));
         }
 
         /**
@@ -268,12 +334,10 @@
         }
 
         void finish(NodeEnd how) {
-            end.tryComplete(how);
-        }
-
-        @Override
-        public Future<NodeEnd> end() {
-            return end.future();
+            if (!ended) {
+                ended = true;
+                waiting.ended(how);
+            }
         }
 
         @Override
--- a/gateway/src/main/java/opalcove/gateway/NodeLinks.java
+++ b/gateway/src/main/java/opalcove/gateway/NodeLinks.java
@@ -1,20 +1,24 @@
 package opalcove.gateway;
 
-import io.vertx.core.Future;
-
 /** The links to app nodes over some wire. */
 public interface NodeLinks {
     /** An attempt under way. */
     interface Attempt {
-        /** Succeeds once, with how it ended; never fails. */
-        Future<NodeEnd> end();
-
         /** Stops waiting. The end follows once the node can see that it was given up. */
         void giveUp();
     }
 
+    /** Who waits for the end of an attempt. */
+    interface Ended {
+        /**
+         * Comes once, perhaps before the call that starts the attempt has returned. A value is lent: it holds for the
+         * time of this call, and who keeps it copies it.
+         */
+        void ended(NodeEnd end);
+    }
+
     /** Starts an attempt; waitMs is how long this gateway will wait at most. */
-    Attempt attempt(AppNode node, Ask ask, double waitMs);
+    Attempt attempt(AppNode node, Ask ask, double waitMs, Ended ended);
 
     /** The node takes no new work, or has moved: links to it are closed once they carry nothing. */
     void forget(AppNode node);
--- a/gateway/src/main/java/opalcove/platform/AskReader.java
+++ b/gateway/src/main/java/opalcove/platform/AskReader.java
@@ -1,7 +1,9 @@
 package opalcove.platform;
 
+import io.netty.buffer.ByteBuf;
+import io.netty.buffer.ByteBufUtil;
 import io.vertx.core.buffer.Buffer;
-import java.util.ArrayList;
+import io.vertx.core.internal.buffer.BufferInternal;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
@@ -14,21 +16,172 @@
 final class AskReader {
     private static final String QUERY = "SVC.QUERY";
     private static final String SUBMIT = "SVC.SUBMIT";
+    private static final int MARKS = 3;
+    private static final int BODY = 4;
+    private static final int MOST_DIGITS = 15;
 
-    private AskReader() {
+    private final AskRules rules;
+    private final List<String> classes;
+    private final List<String> plans;
+
+    AskReader(AskRules rules) {
+        this.rules = rules;
+        classes = rules.classNames();
+        plans = rules.planNames();
     }
 
-    static boolean asks(String command) {
-        return command.equals(QUERY) || command.equals(SUBMIT);
+    /** Whether this is the command of an ask, in letters of either case. */
+    static boolean asks(RespReader command) {
+        return named(command, QUERY) || named(command, SUBMIT);
     }
 
-    static Ask read(AskRules rules, String command, List<Buffer> words) throws Marks.Unfit {
-        boolean submit = command.equals(SUBMIT);
-        if (words.size() != (submit ? 5 : 4)) {
-            throw new Marks.Unfit("wrong number of words for " + command);
+    private static boolean named(RespReader command, String name) {
+        boolean same = command.length(0) == name.length();
+        for (int i = 0; same && i < name.length(); i++) {
+            same = Character.toUpperCase(command.at(0, i)) == name.charAt(i);
+        }
+        return same;
+    }
+
+    /**
+     * Reads the ask. Its body, where it has one, is put into a buffer of the given kind, which is the caller's to release
+     * once the ask is settled.
+     */
+    Ask read(RespReader command, RawSocket buffers) throws Marks.Unfit {
+        boolean submit = named(command, SUBMIT);
+        if (command.count() != (submit ? 5 : 4)) {
+            throw new Marks.Unfit("wrong number of words for " + (submit ? SUBMIT : QUERY));
+        }
+        Ask bare = usual(command, submit);
+        if (bare == null) {
+            bare = unusual(command, submit);
         }
+        if (!submit) {
+            return bare;
+        }
+        ByteBuf body = buffers.aside(Math.max(1, command.length(BODY))).writeBytes(command.lend(BODY));
+        return new Ask(bare.id(), bare.operator(), bare.requestClass(), bare.plan(), bare.units(), bare.waitMs(),
+                bare.key(), bare.retry(), bare.gateways(), bare.firstGateway(), BufferInternal.buffer(body));
+    }
+
+    /** An ask as terminals send it, read in one pass over its bytes; null where anything about it is another. */
+    private Ask usual(RespReader command, boolean submit) throws Marks.Unfit {
+        String requestClass = null;
+        String plan = null;
+        String key = null;
+        boolean retry = false;
+        double units = -1;
+        double waitMs = -1;
+        double spread = -1;
+        double first = -1;
+        int names = 0;
+        int end = command.length(MARKS);
+        for (int from = 0; from <= end;) {
+            int equals = -1;
+            int to = from;
+            while (to < end && command.at(MARKS, to) != ',') {
+                if (equals < 0 && command.at(MARKS, to) == '=') {
+                    equals = to;
+                }
+                to++;
+            }
+            if (equals < 0) {
+                return null;
+            }
+            int value = equals + 1;
+            int name;
+            if (equals - from == 1) {
+                switch (command.at(MARKS, from)) {
+                    case 'c' -> {
+                        name = 1;
+                        requestClass = known(command, value, to, classes);
+                    }
+                    case 't' -> {
+                        name = 2;
+                        plan = known(command, value, to, plans);
+                    }
+                    case 'd' -> {
+                        name = 4;
+                        waitMs = decimal(command, MARKS, value, to);
+                    }
+                    case 'k' -> {
+                        name = 8;
+                        key = command.text(MARKS, value, to);
+                    }
+                    case 'r' -> {
+                        name = 16;
+                        retry = to - value == 1 && command.at(MARKS, value) == '1';
+                    }
+                    default -> {
+                        return null;
+                    }
+                }
+            } else if (command.is(MARKS, from, equals, "units")) {
+                name = 32;
+                units = decimal(command, MARKS, value, to);
+            } else if (command.is(MARKS, from, equals, "spread")) {
+                name = 64;
+                spread = decimal(command, MARKS, value, to);
+            } else if (command.is(MARKS, from, equals, "first")) {
+                name = 128;
+                first = decimal(command, MARKS, value, to);
+            } else {
+                return null;
+            }
+            if ((names & name) != 0) {
+                return null;
+            }
+            names |= name;
+            from = to + 1;
+        }
+        if (requestClass == null || plan == null || units < 0 || waitMs < 0 || spread < 0 || spread != (int) spread
+                || first < 0 || first != (int) first) {
+            return null;
+        }
+        Admission.Effect effect = rules.requestClass(requestClass).effect();
+        boolean keyed = effect == Admission.Effect.KEYED;
+        if (submit == (effect == Admission.Effect.SAFE) || keyed && (key == null || key.isEmpty())) {
+            return null;
+        }
+        return rules.check(new Ask(Marks.hex(command.text(2), "the id"), command.text(1), requestClass, plan, units,
+                waitMs, keyed ? key : null, retry, (int) spread, (int) first, null));
+    }
+
+    private static String known(RespReader command, int from, int to, List<String> names) {
+        for (int i = 0; i < names.size(); i++) {
+            if (command.is(MARKS, from, to, names.get(i))) {
+                return names.get(i);
+            }
+        }
+        return null;
+    }
+
+    /** A plain number of few digits, perhaps with a point; below 0 where it is none. */
+    static double decimal(RespReader value, int item, int from, int to) {
+        long digits = 0;
+        double scale = 0;
+        if (to <= from || to - from > MOST_DIGITS) {
+            return -1;
+        }
+        for (int i = from; i < to; i++) {
+            int digit = value.at(item, i) - '0';
+            if (digit == '.' - '0' && scale == 0 && i > from && i < to - 1) {
+                scale = 1;
+            } else if (digit < 0 || digit > 9) {
+                return -1;
+            } else {
+                digits = digits * 10 + digit;
+                scale *= 10;
+            }
+        }
+        // Both are exact, so the quotient is the number that is nearest to the decimal one.
+        return scale == 0 ? digits : digits / scale;
+    }
+
+    /** Reads an ask of any form, to tell what is wrong with it. */
+    private Ask unusual(RespReader command, boolean submit) throws Marks.Unfit {
         Map<String, String> values = new HashMap<>();
-        for (String mark : words.get(3).toString().split(",")) {
+        for (String mark : command.text(MARKS).split(",")) {
             int equals = mark.indexOf('=');
             if (equals < 1) {
                 throw new Marks.Unfit("expected name=value");
@@ -40,35 +193,66 @@
         Marks marks = new Marks(values);
         Admission.RequestClass requestClass = rules.requestClass(marks.need("c"));
         if (submit == (requestClass.effect() == Admission.Effect.SAFE)) {
-            throw new Marks.Unfit(command + " does not serve " + requestClass.name());
+            throw new Marks.Unfit((submit ? SUBMIT : QUERY) + " does not serve " + requestClass.name());
         }
         boolean keyed = requestClass.effect() == Admission.Effect.KEYED;
-        return rules.check(new Ask(Marks.hex(words.get(2).toString(), "the id"), words.get(1).toString(),
-                requestClass.name(), marks.need("t"), marks.number("units"), marks.number("d"),
-                keyed ? marks.need("k") : null, marks.set("r"), marks.whole("spread"), marks.whole("first"),
-                submit ? words.get(4) : null));
+        return rules.check(new Ask(Marks.hex(command.text(2), "the id"), command.text(1), requestClass.name(),
+                marks.need("t"), marks.number("units"), marks.number("d"), keyed ? marks.need("k") : null,
+                marks.set("r"), marks.whole("spread"), marks.whole("first"), null));
     }
 
-    /** The command that passes the ask on; waitMs is how long this gateway will wait. */
-    static Buffer command(Ask ask, double waitMs) {
-        StringBuilder marks = new StringBuilder(96).append("c=").append(ask.requestClass()).append(",t=")
-                .append(ask.plan()).append(",d=").append((long) waitMs);
+    /** Writes the command that passes the ask on; waitMs is how long this gateway will wait. */
+    static void write(Ask ask, double waitMs, RawSocket to) {
+        long wait = (long) waitMs;
+        boolean whole = ask.units() == Math.rint(ask.units());
+        String units = whole ? null : ask.unitsText();
+        int length = 2 + ask.requestClass().length() + 3 + ask.plan().length() + 3 + Resp.digits(wait)
+                + (ask.key() == null ? 0 : 3 + ask.key().length()) + (ask.retry() ? 4 : 0)
+                + 7 + (whole ? Resp.digits((long) ask.units()) : units.length())
+                + 8 + Resp.digits(ask.gateways()) + 7 + Resp.digits(ask.firstGateway());
+        ByteBuf out = to.room(6 * Resp.HEAD + ask.operator().length() + ask.id().length() + length);
+        Resp.head(out, '*', ask.body() == null ? 4 : 5);
+        Resp.string(out, ask.body() == null ? QUERY : SUBMIT);
+        Resp.string(out, ask.operator());
+        Resp.string(out, ask.id());
+        Resp.head(out, '$', length);
+        mark(out, "c=", ask.requestClass());
+        mark(out, ",t=", ask.plan());
+        ByteBufUtil.writeAscii(out, ",d=");
+        Resp.number(out, wait);
         if (ask.key() != null) {
-            marks.append(",k=").append(ask.key());
+            mark(out, ",k=", ask.key());
         }
         if (ask.retry()) {
-            marks.append(",r=1");
-        }
-        marks.append(",units=").append(ask.unitsText()).append(",spread=").append(ask.gateways())
-                .append(",first=").append(ask.firstGateway());
-        List<Buffer> words = new ArrayList<>(5);
-        words.add(Buffer.buffer(ask.body() == null ? QUERY : SUBMIT));
-        words.add(Buffer.buffer(ask.operator()));
-        words.add(Buffer.buffer(ask.id()));
-        words.add(Buffer.buffer(marks.toString()));
+            ByteBufUtil.writeAscii(out, ",r=1");
+        }
+        ByteBufUtil.writeAscii(out, ",units=");
+        if (whole) {
+            Resp.number(out, (long) ask.units());
+        } else {
+            ByteBufUtil.writeAscii(out, units);
+        }
+        ByteBufUtil.writeAscii(out, ",spread=");
+        Resp.number(out, ask.gateways());
+        ByteBufUtil.writeAscii(out, ",first=");
+        Resp.number(out, ask.firstGateway());
+        Resp.lineEnd(out);
         if (ask.body() != null) {
-            words.add(ask.body());
+            writeBody(out, ask.body(), to);
+        }
+    }
+
+    private static void mark(ByteBuf out, String name, String value) {
+        ByteBufUtil.writeAscii(out, name);
+        ByteBufUtil.writeAscii(out, value);
+    }
+
+    /** The body goes along in the buffer that the ask holds until it is settled. */
+    private static void writeBody(ByteBuf head, Buffer body, RawSocket to) {
+        Resp.head(head, '$', body.length());
+        if (body.length() > 0) {
+            to.pass(((BufferInternal) body).getByteBuf().retainedDuplicate());
         }
-        return Resp.command(words);
+        to.passLineEnd();
     }
 }
--- a/gateway/src/main/java/opalcove/platform/NodeReply.java
+++ b/gateway/src/main/java/opalcove/platform/NodeReply.java
@@ -1,12 +1,13 @@
 package opalcove.platform;
 
+import io.vertx.core.internal.buffer.BufferInternal;
 import java.util.List;
 import opalcove.decision.Admission;
 import opalcove.gateway.NodeEnd;
 import opalcove.gateway.SettingsReader;
 import org.tinylog.Logger;
 
-/** Reads an app node's reply by the protocol's outcome table. */
+/** Reads an app node's replies by the protocol's outcome table. */
 final class NodeReply {
     /** The value, the figures on use and the load report. */
     static final int PARTS = 3;
@@ -15,72 +16,108 @@
 
     private final List<Admission.Gauge> gauges;
     private final double mostUnits;
+    /** The name of a gauge that came last, and its column: nodes tell the same ones over and over. */
+    private String gauge = "";
+    private int column = -1;
+
+    private int used;
+    private double cost;
+    private double[] load;
 
     NodeReply(Admission.Settings settings) {
         gauges = settings.gauges();
         mostUnits = settings.limits().mostUnits();
     }
 
-    /** How the attempt ended, or null where the reply is none that a node gives: the attempt may have run. */
-    NodeEnd read(Resp reply) {
-        Told told = new Told();
-        if (reply instanceof Resp.Items items && items.values().size() == PARTS
-                && items.values().get(0) instanceof Resp.Bulk value && value.bytes() != null) {
-            for (Resp part : items.values().subList(1, items.values().size())) {
-                if (part instanceof Resp.Bulk bulk && bulk.bytes() != null) {
-                    told.take(bulk.bytes().toString());
+    /**
+     * How the attempt ended, or null where the reply is none that a node gives: the attempt may have run. A value is lent
+     * for the time of the reply's call.
+     */
+    NodeEnd read(RespReader reply) {
+        used = -1;
+        cost = 0;
+        load = null;
+        if (reply.kind() == '*' && reply.count() == PARTS && reply.isString(0)) {
+            for (int part = 1; part < PARTS; part++) {
+                if (reply.isString(part)) {
+                    take(reply, part, 0, reply.length(part));
                 }
             }
-            return new NodeEnd(Admission.Result.SERVED, value.bytes(), told.used, told.cost, told.load);
+            return new NodeEnd(Admission.Result.SERVED, BufferInternal.buffer(reply.lend(0)), used, cost, load);
         }
-        if (reply instanceof Resp.Line line && line.kind() == '-') {
-            String[] words = line.text().split(" ");
-            boolean busy = words[0].equals("BUSY");
-            if (busy || words[0].equals("ERR")) {
-                for (String word : words) {
-                    told.take(word);
+        if (reply.kind() == '-') {
+            int end = reply.length(0);
+            int word = wordEnd(reply, 0, end);
+            boolean busy = reply.is(0, 0, word, "BUSY");
+            if (busy || reply.is(0, 0, word, "ERR")) {
+                for (int from = word + 1; from < end; from = word + 1) {
+                    word = wordEnd(reply, from, end);
+                    take(reply, 0, from, word);
                 }
-                return new NodeEnd(busy ? Admission.Result.TURNED_AWAY : Admission.Result.ERROR, null, told.used,
-                        told.cost, told.load);
+                return new NodeEnd(busy ? Admission.Result.TURNED_AWAY : Admission.Result.ERROR, null, used, cost,
+                        load);
             }
         }
         return null;
     }
 
-    /** The figures on use and the load report, each a list of name=figure. */
-    private final class Told {
-        private int used = -1;
-        private double cost;
-        private double[] load;
+    private static int wordEnd(RespReader reply, int from, int end) {
+        return find(reply, 0, from, end, (byte) ' ');
+    }
+
+    /** Where this byte comes next, or the end. */
+    private static int find(RespReader reply, int part, int from, int end, byte sought) {
+        int at = from;
+        while (at < end && reply.at(part, at) != sought) {
+            at++;
+        }
+        return at;
+    }
 
-        void take(String text) {
-            for (String pair : text.split(",")) {
-                int equals = pair.indexOf('=');
-                if (equals > 0) {
-                    try {
-                        figure(pair.substring(0, equals), Double.parseDouble(pair.substring(equals + 1)));
-                    } catch (NumberFormatException e) {
-                        Logger.debug("an app node told {}", pair);
-                    }
+    /** The figures on use or the load report, each a list of name=figure. */
+    private void take(RespReader reply, int part, int start, int end) {
+        for (int from = start; from < end;) {
+            int to = find(reply, part, from, end, (byte) ',');
+            int equals = find(reply, part, from, to, (byte) '=');
+            if (equals > from && equals < to) {
+                double value = AskReader.decimal(reply, part, equals + 1, to);
+                if (value < 0) {
+                    value = unusual(reply.text(part, equals + 1, to));
                 }
+                figure(reply, part, from, equals, value);
             }
+            from = to + 1;
         }
+    }
 
-        /** Guards the module's books against figures that cannot be: what is no figure counts as not told. */
-        private void figure(String name, double value) {
-            if (!(value >= 0 && value <= MOST_USED) || name.equals("cost") && value > mostUnits) {
-                return;
+    /** A figure of another form, such as 1e2; NaN where it is none. */
+    private static double unusual(String text) {
+        try {
+            return Double.parseDouble(text);
+        } catch (NumberFormatException e) {
+            Logger.debug("an app node told {}", text);
+            return Double.NaN;
+        }
+    }
+
+    /** Guards the module's books against figures that cannot be: what is no figure counts as not told. */
+    private void figure(RespReader reply, int part, int from, int to, double value) {
+        boolean costs = reply.is(part, from, to, "cost");
+        if (!(value >= 0 && value <= MOST_USED) || costs && value > mostUnits) {
+            return;
+        }
+        if (costs) {
+            cost = value;
+        } else if (reply.is(part, from, to, "used")) {
+            used = (int) Math.round(value);
+        } else {
+            if (!reply.is(part, from, to, gauge)) {
+                gauge = reply.text(part, from, to);
+                column = gauges.indexOf(SettingsReader.gauge(gauge));
             }
-            switch (name) {
-                case "used" -> used = (int) Math.round(value);
-                case "cost" -> cost = value;
-                default -> {
-                    int column = gauges.indexOf(SettingsReader.gauge(name));
-                    if (column >= 0) {
-                        load = load == null ? new double[gauges.size()] : load;
-                        load[column] = value;
-                    }
-                }
+            if (column >= 0) {
+                load = load == null ? new double[gauges.size()] : load;
+                load[column] = value;
             }
         }
     }
--- a/gateway/src/main/java/opalcove/platform/Rehearsal.java
+++ b/gateway/src/main/java/opalcove/platform/Rehearsal.java
@@ -1,5 +1,6 @@
 package opalcove.platform;
 
+import io.netty.buffer.ByteBuf;
 import io.vertx.core.Future;
 import io.vertx.core.Promise;
 import io.vertx.core.Vertx;
@@ -15,6 +16,8 @@
 import java.util.concurrent.ExecutionException;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.TimeoutException;
+import java.util.function.BiConsumer;
+import java.util.function.Consumer;
 import opalcove.decision.Admission;
 import opalcove.gateway.AppNode;
 import opalcove.gateway.Ask;
@@ -108,35 +111,69 @@
                 .onSuccess(this::ask);
     }
 
+    /** A party of the play: hears values, and writes at the end of each turn. */
+    private static final class Party implements RawSocket.User, RespReader.User {
+        private final RawSocket raw;
+        private final RespReader reader = new RespReader(5, this);
+        private final BiConsumer<RespReader, RawSocket> values;
+        private final Consumer<String> errors;
+
+        Party(NetSocket socket, BiConsumer<RespReader, RawSocket> values, Consumer<String> errors) {
+            this.values = values;
+            this.errors = errors;
+            raw = new RawSocket(socket, false, this);
+            socket.closeHandler(closed -> reader.stop());
+        }
+
+        @Override
+        public void read(ByteBuf bytes) {
+            reader.take(bytes);
+        }
+
+        @Override
+        public void value(RespReader value) {
+            values.accept(value, raw);
+        }
+
+        @Override
+        public void broken(String reason) {
+            errors.accept(reason);
+        }
+    }
+
     /** An app node that gives each ask's id as its value. */
     private static void work(NetSocket socket) {
-        socket.handler(new RespReader(5, command -> {
-            Buffer id = ((Resp.Bulk) ((Resp.Items) command).values().get(2)).bytes();
-            socket.write(Resp.command(List.of(id, Buffer.buffer("used=1,cost=1"), Buffer.buffer("latency_ms=1.5"))));
-        }, reason -> socket.close()));
+        new Party(socket, (command, raw) -> {
+            String id = command.text(2);
+            ByteBuf out = raw.room(5 * Resp.HEAD + id.length());
+            Resp.head(out, '*', 3);
+            Resp.string(out, id);
+            Resp.string(out, "used=1,cost=1");
+            Resp.string(out, "latency_ms=1.5");
+        }, reason -> socket.close());
     }
 
     private void ask(NetSocket socket) {
-        socket.handler(new RespReader(1, answer -> {
+        Party terminal = new Party(socket, (answer, raw) -> {
             answered++;
             if (sent < most) {
-                next(socket);
+                next(raw);
             } else if (answered == sent) {
                 played.tryComplete();
             }
-        }, reason -> played.tryFail(reason)));
+        }, played::tryFail);
         while (sent < WINDOW) {
-            next(socket);
+            next(terminal.raw);
         }
     }
 
     /** Each ask from another operator, so that no quota ends the play; classes and plans in turn. */
-    private void next(NetSocket socket) {
+    private void next(RawSocket raw) {
         Admission.RequestClass c = settings.classes().get(sent % settings.classes().size());
         String id = String.format("%016x", sent++);
-        socket.write(AskReader.command(new Ask(id, id, c.name(), settings.plans().get(sent % settings.plans().size())
+        AskReader.write(new Ask(id, id, c.name(), settings.plans().get(sent % settings.plans().size())
                 .name(), 1, c.deadlineMs(), c.effect() == Admission.Effect.KEYED ? id : null, false,
                 settings.gateways(), 0, c.effect() == Admission.Effect.SAFE ? null : Buffer.buffer(id)),
-                c.deadlineMs()));
+                c.deadlineMs(), raw);
     }
 }
--- a/gateway/src/main/java/opalcove/platform/Resp.java
+++ b/gateway/src/main/java/opalcove/platform/Resp.java
@@ -1,36 +1,59 @@
 package opalcove.platform;
 
-import io.vertx.core.buffer.Buffer;
-import java.util.List;
+import io.netty.buffer.ByteBuf;
+import io.netty.buffer.ByteBufUtil;
 
-/** A RESP2 value. */
-sealed interface Resp {
-    /** A bulk string; null where it is the null bulk string. */
-    record Bulk(Buffer bytes) implements Resp { }
+/** Writes RESP2. */
+final class Resp {
+    /** A value of this size or more is passed on in the buffer that it came in; a smaller one is cheaper to copy. */
+    static final int LARGE = 4096;
+    /** The most that the head of a bulk string, or a whole number, takes. */
+    static final int HEAD = 24;
 
-    /** A simple string (+), an error (-) or a number (:). */
-    record Line(char kind, String text) implements Resp { }
+    private Resp() {
+    }
+
+    /** The head of a bulk string: its mark, length and line end. */
+    static void head(ByteBuf out, char mark, long length) {
+        out.writeByte(mark);
+        number(out, length);
+        lineEnd(out);
+    }
 
-    /** An array; the null array reads as an empty one. */
-    record Items(List<Resp> values) implements Resp { }
+    static void lineEnd(ByteBuf out) {
+        out.writeByte('\r').writeByte('\n');
+    }
 
-    /** Writes a bulk string. */
-    static Buffer bulk(Buffer bytes) {
-        return Buffer.buffer(bytes.length() + 16).appendString("$" + bytes.length() + "\r\n").appendBuffer(bytes)
-                .appendString("\r\n");
+    /** A bulk string. */
+    static void string(ByteBuf out, String text) {
+        head(out, '$', text.length());
+        ByteBufUtil.writeAscii(out, text);
+        lineEnd(out);
     }
 
-    /** Writes an array of bulk strings, the form of a command. */
-    static Buffer command(List<Buffer> words) {
-        Buffer out = Buffer.buffer(256).appendString("*" + words.size() + "\r\n");
-        for (Buffer word : words) {
-            out.appendString("$" + word.length() + "\r\n").appendBuffer(word).appendString("\r\n");
+    /** A line with its mark. */
+    static void line(ByteBuf out, String text) {
+        ByteBufUtil.writeAscii(out, text);
+        lineEnd(out);
+    }
+
+    /** A whole number that is not below 0, in decimal digits. */
+    static void number(ByteBuf out, long number) {
+        int digits = digits(number);
+        int end = out.writerIndex() + digits;
+        out.ensureWritable(digits).writerIndex(end);
+        long rest = number;
+        for (int i = 1; i <= digits; i++) {
+            out.setByte(end - i, (int) ('0' + rest % 10));
+            rest /= 10;
         }
-        return out;
     }
 
-    /** Writes a simple string or an error. */
-    static Buffer line(String text) {
-        return Buffer.buffer(text + "\r\n");
+    static int digits(long number) {
+        int digits = 1;
+        for (long rest = number; rest >= 10; rest /= 10) {
+            digits++;
+        }
+        return digits;
     }
 }
--- a/gateway/src/main/java/opalcove/platform/RespDialler.java
+++ b/gateway/src/main/java/opalcove/platform/RespDialler.java
@@ -1,12 +1,12 @@
 package opalcove.platform;
 
+import io.netty.buffer.ByteBuf;
 import io.vertx.core.Future;
 import io.vertx.core.Vertx;
 import io.vertx.core.net.NetClient;
 import io.vertx.core.net.NetClientOptions;
 import io.vertx.core.net.NetSocket;
 import io.vertx.core.net.SocketAddress;
-import java.util.function.Consumer;
 import java.util.function.Function;
 import opalcove.decision.Admission;
 import opalcove.gateway.Ask;
@@ -46,62 +46,84 @@
         return client.connect(place.apply(address)).map(RespLine::new);
     }
 
-    private final class RespLine implements LinkPool.Line {
+    private final class RespLine implements LinkPool.Line, RawSocket.User, RespReader.User {
         private final NetSocket socket;
-        private RespReader reader;
+        private final RawSocket raw;
+        private final RespReader reader = new RespReader(NodeReply.PARTS, this);
+        private User user;
         private long stall = -1;
 
         RespLine(NetSocket socket) {
             this.socket = socket;
+            raw = new RawSocket(socket, true, this);
         }
 
         @Override
-        public void attach(Consumer<NodeEnd> told, Runnable closed) {
-            reader = new RespReader(NodeReply.PARTS, reply -> {
-                NodeEnd end = replies.read(reply);
-                if (end == null) {
-                    spoilt("an answer of no known form");
-                } else {
-                    told.accept(end);
-                }
-            }, this::spoilt);
-            socket.handler(bytes -> {
-                reader.handle(bytes);
-                watchStall();
-            });
+        public void attach(User attached) {
+            user = attached;
             socket.exceptionHandler(e -> socket.close());
             socket.closeHandler(end -> {
-                vertx.cancelTimer(stall);
-                closed.run();
+                reader.stop();
+                cancelStall();
+                user.gone();
             });
         }
 
+        @Override
+        public void read(ByteBuf bytes) {
+            reader.take(bytes);
+            watchStall();
+        }
+
+        @Override
+        public void unwritten() {
+            user.unwritten();
+        }
+
+        @Override
+        public void value(RespReader reply) {
+            NodeEnd end = replies.read(reply);
+            if (end == null) {
+                broken("an answer of no known form");
+            } else {
+                user.replied(end);
+            }
+        }
+
         /**
          * Guards the attempt against an answer that is shorter than it says: nodes write an answer at once, so one that
          * stands still half way will not be finished.
          */
         private void watchStall() {
-            vertx.cancelTimer(stall);
+            cancelStall();
             if (reader.within()) {
-                stall = vertx.setTimer(STALL_MS, due -> spoilt("an answer without an end"));
+                stall = vertx.setTimer(STALL_MS, due -> broken("an answer without an end"));
+            }
+        }
+
+        private void cancelStall() {
+            if (stall >= 0) {
+                vertx.cancelTimer(stall);
+                stall = -1;
             }
         }
 
         /** What cannot be read ends the connection, and with it the attempt, as a reset; nothing after it is heard. */
-        private void spoilt(String reason) {
+        @Override
+        public void broken(String reason) {
             Logger.debug("an app node's answer is spoilt: {}", reason);
             reader.stop();
-            socket.close();
+            raw.closeUnsent();
         }
 
         @Override
-        public Future<Void> send(Ask ask, double waitMs) {
-            return socket.write(AskReader.command(ask, waitMs));
+        public void send(Ask ask, double waitMs) {
+            AskReader.write(ask, waitMs, raw);
         }
 
         @Override
         public void close() {
-            socket.close();
+            raw.closeUnsent();
         }
     }
 }
--- a/gateway/src/main/java/opalcove/platform/RespFront.java
+++ b/gateway/src/main/java/opalcove/platform/RespFront.java
@@ -1,19 +1,17 @@
 package opalcove.platform;
 
-import io.netty.channel.Channel;
-import io.netty.channel.nio.AbstractNioChannel;
-import io.netty.channel.socket.DuplexChannel;
+import io.netty.buffer.ByteBuf;
+import io.netty.buffer.Unpooled;
 import io.vertx.core.Future;
-import io.vertx.core.Promise;
 import io.vertx.core.Vertx;
 import io.vertx.core.buffer.Buffer;
-import io.vertx.core.internal.net.NetSocketInternal;
+import io.vertx.core.internal.buffer.BufferInternal;
 import io.vertx.core.net.NetServer;
 import io.vertx.core.net.NetServerOptions;
 import io.vertx.core.net.NetSocket;
 import io.vertx.core.net.SocketAddress;
+import java.nio.charset.StandardCharsets;
 import java.util.ArrayDeque;
-import java.util.ArrayList;
 import java.util.Deque;
 import java.util.HashSet;
 import java.util.LinkedHashSet;
@@ -54,6 +52,7 @@
     private final Vertx vertx;
 
     private final Gateway gateway;
+    private final AskReader asks;
     private final Phases phases;
     private final NetServer server;
     private final Set<Terminal> terminals = new HashSet<>();
@@ -65,6 +64,7 @@
     public RespFront(Vertx vertx, Gateway gateway, Phases phases, int mostTerminals) {
         this.vertx = vertx;
         this.gateway = gateway;
+        asks = new AskReader(gateway.rules());
         this.phases = phases;
         mostFarewells = Math.max(1, mostTerminals / FAREWELL_PART);
         server = vertx.createNetServer(new NetServerOptions().setAcceptBacklog(512).setReuseAddress(true));
@@ -140,18 +140,39 @@
         }
     }
 
-    /** Room for one command's answer. */
-    private static final class Slot {
-        final Promise<Void> left = Promise.promise();
-        Buffer answer;
+    /** One command, and room for its answer. */
+    private final class Slot implements Gateway.Asker {
+        private final Terminal terminal;
+        private Gateway.UnderWay ask;
+        private Buffer body;
+        private boolean answered;
+        /** The answer's bytes, where its turn has not come. */
+        private ByteBuf aside;
+
+        Slot(Terminal terminal) {
+            this.terminal = terminal;
+        }
+
+        @Override
+        public void answered(Answer answer) {
+            terminal.answer(this, answer);
+        }
+
+        @Override
+        public void settled() {
+            if (body != null) {
+                ((BufferInternal) body).getByteBuf().release();
+                body = null;
+            }
+        }
     }
 
     /** One connection of a front. */
-    private final class Terminal {
+    private final class Terminal implements RawSocket.User, RespReader.User {
         private final NetSocket socket;
-        private final Channel channel;
-        private final RespReader reader;
-        private final Deque<Slot> slots = new ArrayDeque<>();
+        private final RawSocket raw;
+        private final RespReader reader = new RespReader(MOST_WORDS, this);
+        private final Deque<Slot> slots = new ArrayDeque<>(4);
         private long lastUsed = System.nanoTime();
         private int errors;
         private boolean paused;
@@ -161,71 +182,129 @@
 
         Terminal(NetSocket socket) {
             this.socket = socket;
-            channel = ((NetSocketInternal) socket).channelHandlerContext().channel();
-            reader = new RespReader(MOST_WORDS, this::command, this::broken);
-            socket.handler(reader);
+            raw = new RawSocket(socket, false, this);
             socket.exceptionHandler(e -> Logger.debug("a terminal's connection broke: {}", e.getMessage()));
             socket.closeHandler(closed -> gone());
         }
 
-        private void command(Resp value) {
+        @Override
+        public void read(ByteBuf bytes) {
+            reader.take(bytes);
+        }
+
+        /** A command has come. */
+        @Override
+        public void value(RespReader command) {
             lastUsed = System.nanoTime();
-            Slot slot = new Slot();
+            Slot slot = new Slot(this);
             slots.add(slot);
-            List<Buffer> words = words(value);
-            if (words.isEmpty()) {
+            if (!isCommand(command)) {
                 error(slot, "expected a command");
                 return;
             }
-            String command = words.get(0).toString().toUpperCase(Locale.ROOT);
             if (AskReader.asks(command)) {
-                ask(slot, command, words);
+                ask(slot, command);
             } else {
-                answer(slot, switch (command) {
-                    case "PING" -> words.size() > 1 ? Resp.bulk(words.get(1)) : Resp.line("+PONG");
-                    case "CLIENT", "SELECT" -> Resp.line("+OK");
-                    case "INFO" -> Resp.bulk(Buffer.buffer(gateway.figures()));
-                    default -> Resp.line("-ERR unknown command");
-                });
+                other(slot, command);
             }
-            if (slots.size() >= MOST_PIPELINED || socket.writeQueueFull()) {
+            if (slots.size() >= MOST_PIPELINED || !raw.isWritable()) {
                 // Guards memory against a terminal that asks on and reads no answers.
                 pause();
             }
         }
 
-        private List<Buffer> words(Resp value) {
-            List<Buffer> words = new ArrayList<>(5);
-            if (value instanceof Resp.Items items) {
-                for (Resp each : items.values()) {
-                    if (!(each instanceof Resp.Bulk bulk) || bulk.bytes() == null) {
-                        return List.of();
-                    }
-                    words.add(bulk.bytes());
-                }
+        private boolean isCommand(RespReader command) {
+            boolean strings = command.kind() == '*' && command.count() > 0;
+            for (int i = 0; strings && i < command.count(); i++) {
+                strings = command.isString(i);
             }
-            return words;
+            return strings;
         }
 
-        private void ask(Slot slot, String command, List<Buffer> words) {
+        private void ask(Slot slot, RespReader command) {
             Ask ask;
             try {
-                ask = AskReader.read(gateway.rules(), command, words);
+                ask = asks.read(command, raw);
             } catch (Marks.Unfit e) {
                 error(slot, e.getMessage());
                 return;
             }
-            gateway.serve(ask, slot.left.future()).onSuccess(answer -> answer(slot, write(answer)));
+            slot.body = ask.body();
+            slot.ask = gateway.serve(ask, slot);
+        }
+
+        private void other(Slot slot, RespReader command) {
+            switch (command.text(0).toUpperCase(Locale.ROOT)) {
+                case "PING" -> {
+                    if (command.count() > 1) {
+                        served(slot, command.lend(1));
+                    } else {
+                        line(slot, "+PONG");
+                    }
+                }
+                case "CLIENT", "SELECT" -> line(slot, "+OK");
+                case "INFO" -> served(slot, Unpooled.copiedBuffer(gateway.figures(), StandardCharsets.US_ASCII));
+                default -> line(slot, "-ERR unknown command");
+            }
         }
 
-        private Buffer write(Answer answer) {
+        /** Writes the one final answer; its value is lent. */
+        void answer(Slot slot, Answer answer) {
             if (answer instanceof Answer.Served served) {
-                return Resp.bulk(served.value());
+                served(slot, ((BufferInternal) served.value()).getByteBuf());
+            } else if (answer instanceof Answer.Refused refused) {
+                line(slot, refused.comeBackMs() > 0 ? "-BUSY " + refused.comeBackMs() : "-BUSY");
+            } else {
+                line(slot, "-ERR " + ((Answer.Failed) answer).reason());
             }
-            if (answer instanceof Answer.Refused refused) {
-                return Resp.line(refused.comeBackMs() > 0 ? "-BUSY " + refused.comeBackMs() : "-BUSY");
+        }
+
+        private void served(Slot slot, ByteBuf value) {
+            int length = value.readableBytes();
+            if (slots.peek() != slot) {
+                slot.aside = raw.aside(length + Resp.HEAD);
+                Resp.head(slot.aside, '$', length);
+                slot.aside.writeBytes(value, value.readerIndex(), length);
+                Resp.lineEnd(slot.aside);
+            } else if (length < Resp.LARGE) {
+                ByteBuf out = raw.room(length + Resp.HEAD);
+                Resp.head(out, '$', length);
+                out.writeBytes(value, value.readerIndex(), length);
+                Resp.lineEnd(out);
+            } else {
+                Resp.head(raw.room(Resp.HEAD), '$', length);
+                raw.pass(value.retainedSlice());
+                raw.passLineEnd();
             }
-            return Resp.line("-ERR " + ((Answer.Failed) answer).reason());
+            answered(slot);
+        }
+
+        private void line(Slot slot, String text) {
+            if (slots.peek() == slot) {
+                Resp.line(raw.room(text.length() + 2), text);
+            } else {
+                slot.aside = raw.aside(text.length() + 2);
+                Resp.line(slot.aside, text);
+            }
+            answered(slot);
+        }
+
+        /** Lets out the answers whose turn has come: this one if it is the first, and those that waited for it. */
+        private void answered(Slot slot) {
+            slot.answered = true;
+            slot.ask = null;
+            if (slots.peek() != slot) {
+                return;
+            }
+            slots.poll();
+            while (!slots.isEmpty() && slots.peek().answered) {
+                Slot next = slots.poll();
+                raw.pass(next.aside);
+                next.aside = null;
+            }
+            lastUsed = System.nanoTime();
+            closeIfIdle();
+            resumeIfDrained();
         }
 
         /**
@@ -233,7 +312,7 @@
          * it is turned away: for a while nothing more is read from it.
          */
         private void error(Slot slot, String reason) {
-            answer(slot, Resp.line("-ERR " + reason));
+            line(slot, "-ERR " + reason);
             errors = Math.min(errors + 1, MOST_PENALTIES);
             if (!penalised) {
                 penalised = true;
@@ -245,44 +324,34 @@
             }
         }
 
-        private void answer(Slot slot, Buffer bytes) {
-            slot.answer = bytes;
-            Buffer out = null;
-            while (!slots.isEmpty() && slots.peek().answer != null) {
-                Buffer next = slots.poll().answer;
-                out = out == null ? next : out.appendBuffer(next);
-            }
-            if (out != null) {
-                lastUsed = System.nanoTime();
-                socket.write(out);
-                closeIfIdle();
-                resumeIfDrained();
-            }
-        }
-
         private void pause() {
             if (!paused) {
                 paused = true;
-                socket.pause();
-                socket.drainHandler(drained -> resumeIfDrained());
+                raw.reads(false);
             }
         }
 
+        @Override
+        public void writable() {
+            resumeIfDrained();
+        }
+
         private void resumeIfDrained() {
-            if (paused && !penalised && !closing && slots.size() < MOST_PIPELINED / 2 && !socket.writeQueueFull()) {
+            if (paused && !penalised && !closing && slots.size() < MOST_PIPELINED / 2 && raw.isWritable()) {
                 paused = false;
-                socket.resume();
+                raw.reads(true);
             }
         }
 
         /** What cannot be read ends this connection after the answers that it is owed. */
-        private void broken(String reason) {
+        @Override
+        public void broken(String reason) {
             closing = true;
             // Guards the processor against the rest of what is no command, be it 60 MB.
             pause();
-            Slot last = new Slot();
+            Slot last = new Slot(this);
             slots.add(last);
-            answer(last, Resp.line("-ERR Protocol error: " + reason));
+            line(last, "-ERR Protocol error: " + reason);
         }
 
         void closeIfIdle() {
@@ -301,8 +370,8 @@
          * timer can be due before the loop has read what came in the meantime, and to its terminal such an ask is taken.
          */
         boolean partIfQuiet() {
-            if (!paused && !closing && channel.unsafe() instanceof AbstractNioChannel.NioUnsafe reads) {
-                reads.read();
+            if (!paused && !closing) {
+                raw.readNow();
             }
             boolean quiet = slots.isEmpty() && !closing;
             if (quiet) {
@@ -312,9 +381,9 @@
         }
 
         /**
-         * Ends the connection, which owes no answer. Guards what was read from it before and not looked at, because the
-         * terminal was not to be read for a while, against being sent on when that while is over: its answer would have
-         * nowhere to go, and the terminal, which saw the connection end first, may have asked again elsewhere.
+         * Ends the connection, which owes no answer. Guards what was read from it before and not looked at against being
+         * sent on when that while is over: its answer would have nowhere to go, and the terminal, which saw the
+         * connection end first, may have asked again elsewhere.
          */
         private void part() {
             closing = true;
@@ -325,12 +394,7 @@
             }
             farewells.add(this);
             partedAt = System.nanoTime();
-            // An empty write ends once all before it has left; output that is shut earlier would cut it.
-            socket.write(Buffer.buffer()).onSuccess(left -> {
-                if (channel instanceof DuplexChannel duplex && channel.isActive()) {
-                    duplex.shutdownOutput();
-                }
-            });
+            raw.closeOutput();
         }
 
         private void gone() {
@@ -338,8 +402,15 @@
             reader.stop();
             terminals.remove(this);
             farewells.remove(this);
-            List.copyOf(slots).forEach(slot -> slot.left.complete());
-            slots.clear();
+            for (Slot slot = slots.poll(); slot != null; slot = slots.poll()) {
+                if (slot.aside != null) {
+                    slot.aside.release();
+                    slot.aside = null;
+                }
+                if (slot.ask != null) {
+                    slot.ask.leave();
+                }
+            }
             checkEmpty();
         }
     }
--- a/gateway/src/test/java/opalcove/gateway/AlarmsTest.java
+++ b/gateway/src/test/java/opalcove/gateway/AlarmsTest.java
@@ -1,6 +1,7 @@
 package opalcove.gateway;
 
 import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertTrue;
 
 import io.vertx.core.Vertx;
 import java.util.ArrayList;
@@ -10,6 +11,49 @@
 import org.testng.annotations.Test;
 
 public class AlarmsTest {
+    private static Alarms.Alarm alarm(Runnable action) {
+        return new Alarms.Alarm() {
+            @Override
+            void ring() {
+                action.run();
+            }
+        };
+    }
+
+    /** Cancelled ones are let go of at once, and the others keep their order, whichever leave. */
+    @Test
+    public void whatIsCancelledLeavesNothingBehind() throws Exception {
+        Vertx vertx = Vertx.vertx();
+        List<Integer> rung = new ArrayList<>();
+        CompletableFuture<Integer> left = new CompletableFuture<>();
+        vertx.runOnContext(go -> {
+            Clock clock = new Clock();
+            Alarms alarms = new Alarms(vertx, clock);
+            double soon = clock.now() + 20;
+            List<Alarms.Alarm> all = new ArrayList<>();
+            for (int i = 0; i < 1000; i++) {
+                int number = i * 7919 % 1000;
+                Alarms.Alarm each = alarm(() -> rung.add(number));
+                all.add(each);
+                alarms.setAt(soon + number / 50.0, each);
+            }
+            for (int i = 0; i < 1000; i++) {
+                if (i % 3 > 0) {
+                    alarms.cancel(all.get(i * 31 % 1000));
+                }
+            }
+            int kept = alarms.size();
+            alarms.setAt(soon + 40, alarm(() -> left.complete(kept)));
+        });
+        int kept = left.get(20, TimeUnit.SECONDS);
+        assertEquals(kept, 334);
+        assertEquals(rung.size(), 334);
+        for (int i = 1; i < rung.size(); i++) {
+            assertTrue(rung.get(i) > rung.get(i - 1), rung.get(i - 1) + " before " + rung.get(i));
+        }
+        vertx.close().toCompletionStage().toCompletableFuture().get(20, TimeUnit.SECONDS);
+    }
+
     @Test
     public void theyGoOffInTheOrderOfTheirTimesUnlessCancelled() throws Exception {
         Vertx vertx = Vertx.vertx();
@@ -17,16 +61,19 @@
         CompletableFuture<List<String>> all = new CompletableFuture<>();
         vertx.runOnContext(go -> {
             Alarms alarms = new Alarms(vertx, new Clock());
-            alarms.set(30, () -> rung.add("second"));
-            Alarms.Alarm never = alarms.set(5, () -> rung.add("cancelled before it was due"));
-            alarms.set(10, () -> rung.add("first"));
-            Alarms.Alarm later = alarms.set(40, () -> rung.add("cancelled by an alarm"));
-            alarms.set(20, later::cancel);
-            alarms.set(50, () -> {
-                alarms.set(0, () -> all.complete(rung));
+            Alarms.Alarm never = alarm(() -> rung.add("cancelled before it was due"));
+            Alarms.Alarm later = alarm(() -> rung.add("cancelled by an alarm"));
+            alarms.set(30, alarm(() -> rung.add("second")));
+            alarms.set(5, never);
+            alarms.set(10, alarm(() -> rung.add("first")));
+            alarms.set(40, later);
+            alarms.set(20, alarm(() -> alarms.cancel(later)));
+            alarms.set(50, alarm(() -> {
+                alarms.set(0, alarm(() -> all.complete(rung)));
                 rung.add("last, and not before what it set");
-            });
-            never.cancel();
+            }));
+            alarms.cancel(never);
+            alarms.cancel(never);
             rung.add("nothing goes off at once");
         });
         assertEquals(all.get(20, TimeUnit.SECONDS), List.of("nothing goes off at once", "first", "second",
--- a/mqtt/src/main/java/opalcove/mqtt/AnswerMessage.java
+++ b/mqtt/src/main/java/opalcove/mqtt/AnswerMessage.java
@@ -25,7 +25,8 @@
         Buffer payload = Buffer.buffer();
         if (answer instanceof Answer.Served served) {
             properties.add(new UserProperty(STATUS, SERVED));
-            payload = served.value();
+            // Kept for redeliveries, and the value is lent.
+            payload = served.value().copy();
         } else if (answer instanceof Answer.Refused refused) {
             properties.add(new UserProperty(STATUS, REFUSED));
             if (refused.comeBackMs() > 0) {
--- a/mqtt/src/main/java/opalcove/mqtt/MqttDialler.java
+++ b/mqtt/src/main/java/opalcove/mqtt/MqttDialler.java
@@ -20,13 +20,13 @@
 import io.vertx.core.Promise;
 import io.vertx.core.Vertx;
 import io.vertx.core.buffer.Buffer;
+import io.vertx.core.internal.buffer.BufferInternal;
 import io.vertx.core.internal.net.NetSocketInternal;
 import io.vertx.core.net.NetClient;
 import io.vertx.core.net.NetClientOptions;
 import io.vertx.core.net.NetSocket;
 import java.util.Arrays;
 import java.util.List;
-import java.util.function.Consumer;
 import opalcove.decision.Admission;
 import opalcove.gateway.Ask;
 import opalcove.gateway.Endpoint;
@@ -76,8 +76,7 @@
         private final NetSocketInternal socket;
         private final String responseTopic;
         private final Promise<LinkPool.Line> ready;
-        private Consumer<NodeEnd> replies = end -> { };
-        private Runnable closed = () -> { };
+        private User user;
         private byte[] correlation;
 
         MqttLine(NetSocket socket, String clientId, Promise<LinkPool.Line> ready) {
@@ -91,26 +90,28 @@
             socket.exceptionHandler(e -> fail(e.getMessage()));
             socket.closeHandler(end -> {
                 ready.tryFail("the node closed the connection");
-                closed.run();
+                if (user != null) {
+                    user.gone();
+                }
             });
             this.socket.writeMessage(MqttMessageBuilders.connect().protocolVersion(MqttVersion.MQTT_5)
                     .clientId(clientId).cleanSession(true).keepAlive(0).build());
         }
 
         @Override
-        public void attach(Consumer<NodeEnd> told, Runnable end) {
-            replies = told;
-            closed = end;
+        public void attach(User attached) {
+            user = attached;
         }
 
         @Override
-        public Future<Void> send(Ask ask, double waitMs) {
+        public void send(Ask ask, double waitMs) {
             correlation = AskMessage.correlation(ask);
-            return socket.writeMessage(MqttMessageBuilders.publish()
+            socket.writeMessage(MqttMessageBuilders.publish()
                     .topicName(AskMessage.TOPIC + ask.requestClass()).qos(MqttQoS.AT_LEAST_ONCE)
                     .messageId(MESSAGE_ID).properties(AskMessage.properties(ask, waitMs, responseTopic))
-                    .payload(ask.body() == null ? Unpooled.EMPTY_BUFFER : Unpooled.wrappedBuffer(ask.body().getBytes()))
-                    .build());
+                    .payload(ask.body() == null ? Unpooled.EMPTY_BUFFER
+                            : ((BufferInternal) ask.body()).getByteBuf().retainedDuplicate())
+                    .build()).onFailure(cut -> user.unwritten());
         }
 
         @Override
@@ -183,7 +184,7 @@
 
         private void answered(NodeEnd end) {
             correlation = null;
-            replies.accept(end);
+            user.replied(end);
         }
     }
 }
--- a/mqtt/src/main/java/opalcove/mqtt/MqttFront.java
+++ b/mqtt/src/main/java/opalcove/mqtt/MqttFront.java
@@ -7,7 +7,6 @@
 import io.netty.handler.codec.mqtt.MqttProperties;
 import io.netty.handler.codec.mqtt.MqttQoS;
 import io.vertx.core.Future;
-import io.vertx.core.Promise;
 import io.vertx.core.Vertx;
 import io.vertx.mqtt.MqttEndpoint;
 import io.vertx.mqtt.MqttServer;
@@ -101,19 +100,31 @@
     }
 
     /** An ask under way, and the connection and packet by which it was delivered last. */
-    private static final class OpenAsk {
-        final Promise<Void> left = Promise.promise();
+    private final class OpenAsk implements Gateway.Asker {
+        final String id;
+        Gateway.UnderWay underWay;
+        double until;
         final String responseTopic;
         final byte[] correlation;
         Terminal terminal;
         MqttQoS qos;
         int messageId;
 
-        OpenAsk(String responseTopic, byte[] correlation) {
+        OpenAsk(String id, String responseTopic, byte[] correlation) {
+            this.id = id;
             this.responseTopic = responseTopic;
             this.correlation = correlation;
         }
 
+        @Override
+        public void answered(Answer answer) {
+            open.remove(id);
+            AnswerMessage message = AnswerMessage.of(answer, correlation);
+            recent.keep(id, message, clock.now(), until);
+            terminal.answer(this, message);
+            checkEmpty();
+        }
+
         void deliveredBy(Terminal by, MqttPublishMessage message) {
             terminal = by;
             qos = message.qosLevel();
@@ -185,7 +196,7 @@
                     known.deliveredBy(this, message);
                     gateway.joined();
                 } else {
-                    OpenAsk ask = new OpenAsk(responseTopic, correlation);
+                    OpenAsk ask = new OpenAsk(id, responseTopic, correlation);
                     ask.deliveredBy(this, message);
                     if (given != null) {
                         gateway.joined();
@@ -215,16 +226,8 @@
                 return;
             }
             open.put(id, opened);
-            double until = clock.now() + ask.waitMs();
-            gateway.serve(ask, opened.left.future()).onComplete(done -> {
-                open.remove(id);
-                if (done.succeeded()) {
-                    AnswerMessage answer = AnswerMessage.of(done.result(), opened.correlation);
-                    recent.keep(id, answer, clock.now(), until);
-                    opened.terminal.answer(opened, answer);
-                }
-                checkEmpty();
-            });
+            opened.until = clock.now() + ask.waitMs();
+            opened.underWay = gateway.serve(ask, opened);
         }
 
         /** Publishes the answer and then settles the ask. Where the terminal is away it asks for it by redelivery. */
@@ -268,7 +271,8 @@
             terminals.remove(endpoint.clientIdentifier(), this);
             for (OpenAsk each : List.copyOf(open.values())) {
                 if (each.terminal == this && each.qos == MqttQoS.AT_MOST_ONCE) {
-                    each.left.tryComplete();
+                    open.remove(each.id);
+                    each.underWay.leave();
                 }
             }
             checkEmpty();
--- a/mqtt/src/test/java/opalcove/plan/PlanTest.java
+++ b/mqtt/src/test/java/opalcove/plan/PlanTest.java
@@ -5,7 +5,6 @@
 import static org.testng.Assert.expectThrows;
 
 import io.vertx.core.Future;
-import io.vertx.core.Promise;
 import io.vertx.core.Vertx;
 import java.nio.file.Files;
 import java.nio.file.Path;
@@ -79,7 +78,7 @@
         assertEquals(planner.plan(control, wanted, file), "no changes\n");
         // The core goes by the new list at once: of the three, only app-3 takes new work.
         vertx.runOnContext(go -> gateway.serve(new Ask("00000000000000a1", "0000000000000001", "slot-status", "start",
-                1, 4000, null, false, 1, 0, null), Promise.<Void>promise().future()));
+                1, 4000, null, false, 1, 0, null), answer -> { }));
         assertEquals(dialled.get(20, TimeUnit.SECONDS), "mqtt://127.0.0.1:13");
 
         Files.writeString(file, first);
