Fail the build when a count of an ask grows by more than 5%

Need: what was made cheaper must stay so, and a time on a shared machine tells nothing.

Change: a guard counts six loads (alone, 16 and 64 pipelined, 64 KiB, records, MQTT) and holds allocated bytes, objects, reads, writes, copied bytes and tasks against laboratory/baseline.json; the build's test and the command guard do the same.

--- /dev/null
+++ b/cli/src/main/java/opalcove/cli/GuardCommand.java
@@ -0,0 +1,42 @@
+package opalcove.cli;
+
+import com.eclipsesource.json.Json;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.Callable;
+import opalcove.laboratory.Guard;
+import picocli.CommandLine.Command;
+import picocli.CommandLine.Option;
+import picocli.CommandLine.Parameters;
+
+@Command(name = "guard", mixinStandardHelpOptions = true, versionProvider = Opalcove.Version.class,
+        description = "Counts what an ask costs and holds it against a baseline: exits with 1 where a count has grown by"
+                + " more than 5%%. The build does the same.")
+final class GuardCommand implements Callable<Integer> {
+    @Parameters(paramLabel = "FILE", description = "the baseline, such as laboratory/baseline.json")
+    private Path file;
+    @Option(names = "--write", description = "write what is counted now as the new baseline")
+    private boolean write;
+    @Option(names = "--json", description = "print the counts as an object")
+    private boolean json;
+
+    @Override
+    public Integer call() throws Exception {
+        Map<String, Map<String, Double>> counts = Guard.count(System.err::println);
+        if (json) {
+            System.out.print(Guard.write(counts));
+        }
+        if (write) {
+            Files.writeString(file, Guard.write(counts));
+            return 0;
+        }
+        List<String> grown = Guard.grown(Json.parse(Files.readString(file)).asObject(), counts);
+        grown.forEach(System.err::println);
+        if (!json && grown.isEmpty()) {
+            System.out.println("no count has grown by more than 5%");
+        }
+        return grown.isEmpty() ? 0 : 1;
+    }
+}
--- a/cli/src/main/java/opalcove/cli/MeterCommand.java
+++ b/cli/src/main/java/opalcove/cli/MeterCommand.java
@@ -21,6 +21,9 @@
     @Option(names = "--work", paramLabel = "MS", defaultValue = "0", description = "time that a node takes"
             + " (default: ${DEFAULT-VALUE})")
     private long work;
+    @Option(names = "--rest", paramLabel = "MS", defaultValue = "0", description = "have the loop rest before each look"
+            + " at its sockets: batches as large as they can be (default: ${DEFAULT-VALUE})")
+    private double rest;
     @Option(names = "--warm", paramLabel = "N", defaultValue = "20000", description = "asks before the counting"
             + " (default: ${DEFAULT-VALUE})")
     private int warm;
@@ -32,7 +35,7 @@
     @Override
     public Integer call() throws Exception {
         LoadPlan plan = options.plan("127.0.0.1", 0);
-        try (Meter meter = new Meter(plan, new Meter.Nodes(nodes, value, work), warm, System.err::println)) {
+        try (Meter meter = new Meter(plan, new Meter.Nodes(nodes, value, work), (long) (rest * 1e6), warm, System.err::println)) {
             Meter.Costs costs = meter.measure(plan.asks(), classes);
             System.out.print(json ? costs.json() + "\n" : table(costs));
         }
@@ -41,10 +44,10 @@
 
     private static String table(Meter.Costs costs) {
         StringBuilder text = new StringBuilder(String.format("an ask costs: allocated %.0f bytes%s, reads %.3f, writes"
-                + " %.3f, waits %.3f, copied once more on the way out %.0f bytes, processor %.1f us%n",
+                + " %.3f, waits %.3f, tasks %.3f, copied once more on the way out %.0f bytes, processor %.1f us%n",
                 costs.allocatedBytes(), costs.classes().isEmpty() ? "" : String.format(" in %.1f objects, timers %.3f",
                         costs.objects(), costs.timers()), costs.reads(), costs.writes(), costs.waits(),
-                costs.copiedOutBytes(), costs.cpuUs()));
+                costs.tasks(), costs.copiedOutBytes(), costs.cpuUs()));
         costs.classes().entrySet().stream()
                 .sorted((a, b) -> Double.compare(b.getValue()[1], a.getValue()[1])).limit(45).forEach(each ->
                         text.append(String.format("%9.0f bytes %7.2f objects  %s%n", each.getValue()[1],
--- a/laboratory/src/main/java/opalcove/laboratory/CountingTransport.java
+++ b/laboratory/src/main/java/opalcove/laboratory/CountingTransport.java
@@ -22,6 +22,7 @@
 import java.nio.channels.SocketChannel;
 import java.util.List;
 import java.util.concurrent.ThreadFactory;
+import java.util.concurrent.locks.LockSupport;
 
 /**
  * Vert.x's own transport, which counts what it does at the sockets of the one event loop. The counts need no privileges;
@@ -29,9 +30,15 @@
  */
 final class CountingTransport extends NioTransport {
     private final Counts counts;
+    private final long restNs;
 
-    CountingTransport(Counts counts) {
+    /**
+     * Counts here. With a rest above 0, ns, the loop rests that long before each look at its sockets: by then all that is
+     * under way has come, so what one turn takes in is as much as it can be, and the same each time.
+     */
+    CountingTransport(Counts counts, long restNs) {
         this.counts = counts;
+        this.restNs = restNs;
     }
 
     @Override
@@ -65,6 +72,9 @@
 
         @Override
         public int run(IoHandlerContext context) {
+            if (restNs > 0) {
+                LockSupport.parkNanos(restNs);
+            }
             counts.waits++;
             return handler.run(context);
         }
@@ -86,7 +96,7 @@
 
         @Override
         public void wakeup() {
-            counts.wakeups++;
+            counts.tasks++;
             handler.wakeup();
         }
 
--- a/laboratory/src/main/java/opalcove/laboratory/Counts.java
+++ b/laboratory/src/main/java/opalcove/laboratory/Counts.java
@@ -8,8 +8,8 @@
     long writes;
     /** Turns of the loop, each of which asks the selector once (epoll_wait on Linux). */
     long waits;
-    /** How often another thread woke the loop. */
-    long wakeups;
+    /** Tasks that were handed to the loop, from within it or from elsewhere. */
+    long tasks;
     long bytesRead;
     /** Bytes that were copied once more on their way out, since they were not in direct memory. */
     long bytesCopiedOut;
--- a/laboratory/src/main/java/opalcove/laboratory/Meter.java
+++ b/laboratory/src/main/java/opalcove/laboratory/Meter.java
@@ -22,21 +22,21 @@
  */
 public final class Meter implements AutoCloseable {
     /** Flags with which no garbage is collected between two marks, so that the heap tells each object by its class. */
-    private static final List<String> FLAGS = List.of("-XX:+UseSerialGC", "-XX:TieredStopAtLevel=1", "-Xms1g",
-            "-Xmx1g", "-Xmn900m", "-Dvertx.disableDnsResolver=true");
+    private static final List<String> FLAGS = List.of("-XX:+UseSerialGC", "-XX:TieredStopAtLevel=1", "-Xms512m",
+            "-Xmx512m", "-Xmn440m", "-Dvertx.disableDnsResolver=true");
     /** The app nodes behind the gateway: how many its list has, what they answer, and after how long. */
     public record Nodes(int number, int valueBytes, long workMs) { }
 
     /** What one ask cost, on average. Bytes and objects are those of the event loop's thread; CPU is the process's. */
     public record Costs(double allocatedBytes, double objects, double reads, double writes, double waits,
-                        double timers, double copiedOutBytes, double cpuUs, Map<String, double[]> classes,
+                        double tasks, double timers, double copiedOutBytes, double cpuUs, Map<String, double[]> classes,
                         LoadReport load) {
         public JsonObject json() {
             JsonObject top = Json.object();
             classes.entrySet().stream().sorted((a, b) -> Double.compare(b.getValue()[1], a.getValue()[1])).limit(40)
                     .forEach(each -> top.add(each.getKey(), Json.array(each.getValue())));
             return Json.object().add("allocated_bytes", allocatedBytes).add("objects", objects).add("reads", reads)
-                    .add("writes", writes).add("waits", waits).add("timers", timers)
+                    .add("writes", writes).add("waits", waits).add("tasks", tasks).add("timers", timers)
                     .add("copied_out_bytes", copiedOutBytes).add("cpu_us", cpuUs).add("classes", top)
                     .add("load", load.json());
         }
@@ -48,13 +48,16 @@
     private final PrintStream commands;
     private final Load load;
 
-    /** Starts gateway and node, opens the connections of the plan and warms the gateway with that many asks. */
-    public Meter(LoadPlan plan, Nodes nodes, int warmAsks, Consumer<String> progress) throws Exception {
+    /**
+     * Starts gateway and node, opens the connections of the plan and warms the gateway with that many asks. The gateway's
+     * loop rests so long, ns, before each look at its sockets (0: not at all).
+     */
+    public Meter(LoadPlan plan, Nodes nodes, long restNs, int warmAsks, Consumer<String> progress) throws Exception {
         node = new AppNodeStandIn(nodes.valueBytes(), nodes.workMs());
         List<String> command = new ArrayList<>(List.of(java()));
         command.addAll(FLAGS);
         command.addAll(List.of("-cp", System.getProperty("java.class.path"), MeteredGateway.class.getName(),
-                plan.mqtt() ? "mqtt" : "resp", Integer.toString(nodes.number()), Integer.toString(node.port())));
+                plan.mqtt() ? "mqtt" : "resp", Integer.toString(nodes.number()), Integer.toString(node.port()), Long.toString(restNs)));
         gateway = new ProcessBuilder(command).redirectError(ProcessBuilder.Redirect.DISCARD).start();
         answers = gateway.inputReader(StandardCharsets.UTF_8);
         commands = new PrintStream(gateway.getOutputStream(), true, StandardCharsets.UTF_8);
@@ -98,7 +101,7 @@
         }
         double timers = classes.getOrDefault("io.netty.util.concurrent.ScheduledFutureTask", new double[2])[0];
         return new Costs(each(after, before, "allocated", asks), objects, each(after, before, "reads", asks),
-                each(after, before, "writes", asks), each(after, before, "waits", asks), timers,
+                each(after, before, "writes", asks), each(after, before, "waits", asks), each(after, before, "tasks", asks), timers,
                 each(after, before, "copied_out", asks), each(after, before, "cpu_ns", asks) / 1000, classes, report);
     }
 
--- a/laboratory/src/main/java/opalcove/laboratory/MeteredGateway.java
+++ b/laboratory/src/main/java/opalcove/laboratory/MeteredGateway.java
@@ -44,17 +44,18 @@
     private static final int MOST_LINKS = 2000;
 
     private final Counts counts = new Counts();
-    private final Vertx vertx = VertxBootstrap.create().options(new VertxOptions().setEventLoopPoolSize(1)
-            .setWorkerPoolSize(1).setInternalBlockingPoolSize(1)).transport(new CountingTransport(counts)).init().vertx();
+    private final Vertx vertx;
     private final CompletableFuture<Integer> port = new CompletableFuture<>();
     private volatile long loopThread;
 
-    private MeteredGateway() {
+    private MeteredGateway(long restNs) {
+        vertx = VertxBootstrap.create().options(new VertxOptions().setEventLoopPoolSize(1).setWorkerPoolSize(1)
+                .setInternalBlockingPoolSize(1)).transport(new CountingTransport(counts, restNs)).init().vertx();
     }
 
-    /** Arguments: the front, resp or mqtt; the number of app nodes in the list; their one port. */
+    /** Arguments: the front, resp or mqtt; the number of app nodes in the list; their one port; the loop's rest, ns. */
     public static void main(String[] args) throws Exception {
-        MeteredGateway gateway = new MeteredGateway();
+        MeteredGateway gateway = new MeteredGateway(Long.parseLong(args[3]));
         gateway.start(args[0], Integer.parseInt(args[1]), Integer.parseInt(args[2]));
         PrintStream out = new PrintStream(new FileOutputStream(FileDescriptor.out), true, StandardCharsets.UTF_8);
         out.println(gateway.port.get());
@@ -70,8 +71,13 @@
     }
 
     static Admission.Settings settings() {
+        return SettingsReader.checked(Fields.parse(settingsText()));
+    }
+
+    /** Settings under which no quota and no limit is met by any load. */
+    static String settingsText() {
         try (var file = MeteredGateway.class.getResourceAsStream("settings.json")) {
-            return SettingsReader.checked(Fields.parse(new String(file.readAllBytes(), StandardCharsets.UTF_8)));
+            return new String(file.readAllBytes(), StandardCharsets.UTF_8);
         } catch (IOException e) {
             throw new IllegalStateException(e);
         }
@@ -106,7 +112,7 @@
             ThreadMXBean threads = (ThreadMXBean) ManagementFactory.getThreadMXBean();
             mark.complete(Json.object().add("allocated", threads.getThreadAllocatedBytes(loopThread))
                     .add("reads", counts.reads).add("writes", counts.writes).add("waits", counts.waits)
-                    .add("wakeups", counts.wakeups).add("read", counts.bytesRead)
+                    .add("tasks", counts.tasks).add("read", counts.bytesRead)
                     .add("copied_out", counts.bytesCopiedOut)
                     .add("collections", ManagementFactory.getGarbageCollectorMXBeans().stream()
                             .mapToLong(GarbageCollectorMXBean::getCollectionCount).sum())
