--- /dev/null
+++ b/benchmarks/src/main/java/opalcove/platform/ReaderBenchmark.java
@@ -0,0 +1,97 @@
+package opalcove.platform;
+
+import io.netty.buffer.ByteBuf;
+import io.netty.buffer.Unpooled;
+import java.nio.charset.StandardCharsets;
+import java.util.concurrent.TimeUnit;
+import opalcove.gateway.Clock;
+import opalcove.gateway.Gateway;
+import opalcove.gateway.LinkPool;
+import opalcove.laboratory.Laboratory;
+import org.openjdk.jmh.annotations.Benchmark;
+import org.openjdk.jmh.annotations.BenchmarkMode;
+import org.openjdk.jmh.annotations.Fork;
+import org.openjdk.jmh.annotations.Measurement;
+import org.openjdk.jmh.annotations.Mode;
+import org.openjdk.jmh.annotations.OutputTimeUnit;
+import org.openjdk.jmh.annotations.Scope;
+import org.openjdk.jmh.annotations.Setup;
+import org.openjdk.jmh.annotations.State;
+import org.openjdk.jmh.annotations.TearDown;
+import org.openjdk.jmh.annotations.Warmup;
+
+/** What it takes to read an ask from a terminal's bytes, and an end from a node's, with the flags of the platform's JVM. */
+@State(Scope.Thread)
+@BenchmarkMode(Mode.AverageTime)
+@OutputTimeUnit(TimeUnit.NANOSECONDS)
+@Warmup(iterations = 3, time = 1)
+@Measurement(iterations = 5, time = 1)
+@Fork(value = 1, jvmArgsAppend = {"-XX:+UseSerialGC", "-XX:TieredStopAtLevel=1"})
+public class ReaderBenchmark {
+    private static final String ASK = "*4\r\n$9\r\nSVC.QUERY\r\n$16\r\n00000000b4d65521\r\n$16\r\n9b1f03aa5c7e2d41\r\n"
+            + "$53\r\nc=slot-status,t=start,d=4000,units=2,spread=1,first=0\r\n";
+    private static final String REPLY = "*3\r\n$16\r\nvvvvvvvvvvvvvvvv\r\n$14\r\nused=12,cost=1\r\n$8\r\nsvc_ms=5\r\n";
+
+    private final ByteBuf ask = bytes(ASK);
+    private final ByteBuf reply = bytes(REPLY);
+    private io.vertx.core.Vertx vertx;
+    private RespReader asks;
+    private RespReader replies;
+    private Object read;
+
+    private static ByteBuf bytes(String text) {
+        return Unpooled.directBuffer().writeBytes(text.getBytes(StandardCharsets.US_ASCII));
+    }
+
+    @Setup
+    public void start() {
+        vertx = io.vertx.core.Vertx.vertx();
+        var settings = Laboratory.settings();
+        AskReader askReader = new AskReader(new Gateway(vertx, new Clock(), settings, 1,
+                new LinkPool(vertx, settings, new RespDialler(vertx, settings), 1)).rules());
+        NodeReply nodeReply = new NodeReply(settings);
+        asks = new RespReader(8, new RespReader.User() {
+            @Override
+            public void value(RespReader value) {
+                try {
+                    read = askReader.read(value, null);
+                } catch (opalcove.gateway.Marks.Unfit e) {
+                    throw new IllegalStateException(e);
+                }
+            }
+
+            @Override
+            public void broken(String reason) {
+                throw new IllegalStateException(reason);
+            }
+        });
+        replies = new RespReader(NodeReply.PARTS, new RespReader.User() {
+            @Override
+            public void value(RespReader value) {
+                read = nodeReply.read(value);
+            }
+
+            @Override
+            public void broken(String reason) {
+                throw new IllegalStateException(reason);
+            }
+        });
+    }
+
+    @TearDown
+    public void stop() {
+        vertx.close();
+    }
+
+    @Benchmark
+    public Object anAsk() {
+        asks.take(ask.retainedDuplicate());
+        return read;
+    }
+
+    @Benchmark
+    public Object aReply() {
+        replies.take(reply.retainedDuplicate());
+        return read;
+    }
+}
--- a/cli/src/main/java/opalcove/cli/MeterCommand.java
+++ b/cli/src/main/java/opalcove/cli/MeterCommand.java
@@ -1,5 +1,7 @@
 package opalcove.cli;
 
+import com.eclipsesource.json.Json;
+import com.eclipsesource.json.JsonObject;
 import java.util.concurrent.Callable;
 import opalcove.laboratory.LoadPlan;
 import opalcove.laboratory.Meter;
@@ -29,6 +31,8 @@
     private int warm;
     @Option(names = "--classes", description = "tell objects by class, too")
     private boolean classes;
+    @Option(names = "--verify", description = "count once more with strace attached, and print the difference")
+    private boolean verify;
     @Option(names = "--json", description = "print one object")
     private boolean json;
 
@@ -37,7 +41,24 @@
         LoadPlan plan = options.plan("127.0.0.1", 0);
         try (Meter meter = new Meter(plan, new Meter.Nodes(nodes, value, work), (long) (rest * 1e6), warm, System.err::println)) {
             Meter.Costs costs = meter.measure(plan.asks(), classes);
-            System.out.print(json ? costs.json() + "\n" : table(costs));
+            JsonObject told = costs.json();
+            if (!json) {
+                System.out.print(table(costs));
+            }
+            if (verify) {
+                JsonObject checks = Json.object();
+                for (Meter.Check each : meter.verify(plan.asks())) {
+                    checks.add(each.what(), Json.object().add("meter", each.meter()).add("strace", each.strace()));
+                    if (!json) {
+                        System.out.printf("%-6s meter %.3f  strace %.3f  difference %+.3f%n", each.what(), each.meter(),
+                                each.strace(), each.meter() - each.strace());
+                    }
+                }
+                told.add("verified", checks);
+            }
+            if (json) {
+                System.out.println(told);
+            }
         }
         return 0;
     }
--- a/laboratory/src/main/java/opalcove/laboratory/AppNodeStandIn.java
+++ b/laboratory/src/main/java/opalcove/laboratory/AppNodeStandIn.java
@@ -85,8 +85,8 @@
         }
     }
 
-    /** Moves over one whole command, or not at all. */
-    private static boolean skipCommand(ByteBuf in) {
+    /** Moves over one whole array of strings, or not at all. */
+    static boolean skipCommand(ByteBuf in) {
         int start = in.readerIndex();
         int words = number(in, '*');
         for (int i = 0; i < words; i++) {
--- a/laboratory/src/main/java/opalcove/laboratory/Meter.java
+++ b/laboratory/src/main/java/opalcove/laboratory/Meter.java
@@ -105,6 +105,31 @@
                 each(after, before, "copied_out", asks), each(after, before, "cpu_ns", asks) / 1000, classes, report);
     }
 
+    /** A count of the meter beside that of strace, an ask. */
+    public record Check(String what, double meter, double strace) { }
+
+    /** Counts over so many asks once more, with strace attached. Fails where strace is not there or may not attach. */
+    public List<Check> verify(int asks) throws Exception {
+        if (!Strace.isThere()) {
+            throw new IOException("there is no strace on this machine");
+        }
+        try (Strace strace = new Strace(gateway.pid())) {
+            Costs costs = measure(asks, false);
+            Map<String, Long> calls = strace.stop();
+            return List.of(new Check("reads", costs.reads(), sum(calls, asks, "read", "readv", "recvfrom", "recvmsg")),
+                    new Check("writes", costs.writes(), sum(calls, asks, "write", "writev", "sendto", "sendmsg")),
+                    new Check("waits", costs.waits(), sum(calls, asks, "epoll_wait", "epoll_pwait")));
+        }
+    }
+
+    private static double sum(Map<String, Long> calls, int asks, String... names) {
+        double sum = 0;
+        for (String each : names) {
+            sum += calls.getOrDefault(each, 0L);
+        }
+        return sum / asks;
+    }
+
     private static double each(JsonObject after, JsonObject before, String name, int asks) {
         return (after.getDouble(name, 0) - before.getDouble(name, 0)) / asks;
     }
--- a/laboratory/src/main/java/opalcove/laboratory/MeteredGateway.java
+++ b/laboratory/src/main/java/opalcove/laboratory/MeteredGateway.java
@@ -11,7 +11,6 @@
 import java.io.BufferedReader;
 import java.io.FileDescriptor;
 import java.io.FileOutputStream;
-import java.io.IOException;
 import java.io.InputStreamReader;
 import java.io.PrintStream;
 import java.lang.management.GarbageCollectorMXBean;
@@ -26,11 +25,9 @@
 import opalcove.gateway.AppNode;
 import opalcove.gateway.Clock;
 import opalcove.gateway.Endpoint;
-import opalcove.gateway.Fields;
 import opalcove.gateway.Gateway;
 import opalcove.gateway.LinkPool;
 import opalcove.gateway.Phases;
-import opalcove.gateway.SettingsReader;
 import opalcove.mqtt.MqttFront;
 import opalcove.platform.RespDialler;
 import opalcove.platform.RespFront;
@@ -70,23 +67,10 @@
         System.exit(0);
     }
 
-    static Admission.Settings settings() {
-        return SettingsReader.checked(Fields.parse(settingsText()));
-    }
-
-    /** Settings under which no quota and no limit is met by any load. */
-    static String settingsText() {
-        try (var file = MeteredGateway.class.getResourceAsStream("settings.json")) {
-            return new String(file.readAllBytes(), StandardCharsets.UTF_8);
-        } catch (IOException e) {
-            throw new IllegalStateException(e);
-        }
-    }
-
     private void start(String kind, int nodes, int nodePort) {
         vertx.runOnContext(start -> {
             loopThread = Thread.currentThread().getId();
-            Admission.Settings settings = settings();
+            Admission.Settings settings = Laboratory.settings();
             Phases phases = new Phases();
             Clock clock = new Clock();
             Gateway gateway = new Gateway(vertx, clock, settings, 7,
--- a/laboratory/src/main/java/opalcove/laboratory/Pair.java
+++ b/laboratory/src/main/java/opalcove/laboratory/Pair.java
@@ -89,7 +89,7 @@
         try {
             Files.writeString(config, "{\"name\":\"n0\",\"listen\":\"127.0.0.1:" + port + "\",\"discovery\":\"127.0.0.1:"
                     + discovery + "\",\"seed\":\"8c1f30d27a5be964\",\"limits\":{\"sockets\":4096},\"settings\":"
-                    + MeteredGateway.settingsText() + "}");
+                    + Laboratory.settingsText() + "}");
             List<String> command = runs.name().equals("relay") ? List.of(Meter.java(), "-XX:+UseSerialGC",
                     "-XX:TieredStopAtLevel=1", "-Xmx48m", "-cp", System.getProperty("java.class.path"),
                     Relay.class.getName(), Integer.toString(port), Integer.toString(nodePort))
--- a/laboratory/src/main/java/opalcove/laboratory/RespWire.java
+++ b/laboratory/src/main/java/opalcove/laboratory/RespWire.java
@@ -57,7 +57,12 @@
     protected void decode(ChannelHandlerContext context, ByteBuf in, List<Object> found) {
         int start = in.readerIndex();
         char kind = (char) in.getByte(start);
-        if (kind == '$') {
+        if (kind == '*') {
+            // A node's own answer, which a bare relay passes on.
+            if (AppNodeStandIn.skipCommand(in)) {
+                came(Load.Answer.SERVED);
+            }
+        } else if (kind == '$') {
             int length = AppNodeStandIn.number(in, '$');
             if (length < 0 || in.readableBytes() < length + 2) {
                 in.readerIndex(start);
--- /dev/null
+++ b/laboratory/src/main/java/opalcove/laboratory/Strace.java
@@ -0,0 +1,61 @@
+package opalcove.laboratory;
+
+import java.io.BufferedReader;
+import java.io.IOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.List;
+import java.util.Map;
+import java.util.TreeMap;
+import java.util.concurrent.TimeUnit;
+
+/** The calls of a process as strace counts them, where the machine has it and lets it attach. */
+final class Strace implements AutoCloseable {
+    private static final String CALLS = "read,write,readv,writev,recvfrom,sendto,sendmsg,recvmsg,epoll_wait,epoll_pwait";
+    private static final int PATIENCE_S = 20;
+
+    private final Path summary;
+    private final Process strace;
+
+    /** Attaches to all threads of the process; fails where that cannot be. */
+    Strace(long pid) throws IOException {
+        summary = Files.createTempFile("strace", ".txt");
+        strace = new ProcessBuilder("strace", "-f", "-c", "-o", summary.toString(), "-e", "trace=" + CALLS, "-p",
+                Long.toString(pid)).redirectErrorStream(true).start();
+        BufferedReader told = strace.inputReader();
+        String line = told.readLine();
+        if (line == null || !line.contains("attached")) {
+            close();
+            throw new IOException("strace does not attach: " + line);
+        }
+    }
+
+    /** Whether there is a strace on this machine. */
+    static boolean isThere() {
+        return List.of(System.getenv().getOrDefault("PATH", "").split(":")).stream()
+                .anyMatch(folder -> Files.isExecutable(Path.of(folder, "strace")));
+    }
+
+    /** Detaches; gives how often each call was made. */
+    Map<String, Long> stop() throws IOException, InterruptedException {
+        new ProcessBuilder("kill", "-INT", Long.toString(strace.pid())).start().waitFor();
+        if (!strace.waitFor(PATIENCE_S, TimeUnit.SECONDS)) {
+            throw new IOException("strace does not end");
+        }
+        Map<String, Long> calls = new TreeMap<>();
+        for (String line : Files.readAllLines(summary)) {
+            // % time, seconds, usecs/call, calls, perhaps errors, name
+            String[] words = line.strip().split("\\s+");
+            if (words.length >= 5 && words[0].matches("[0-9.]+") && !words[words.length - 1].equals("total")) {
+                calls.put(words[words.length - 1], Long.parseLong(words[3]));
+            }
+        }
+        return calls;
+    }
+
+    @Override
+    public void close() throws IOException {
+        strace.destroy();
+        Files.deleteIfExists(summary);
+    }
+}
