--- a/gateway/src/main/java/opalcove/platform/RespReader.java
+++ b/gateway/src/main/java/opalcove/platform/RespReader.java
@@ -312,13 +312,17 @@
 
     private void told(byte mark) {
         kind = mark;
-        user.value(this);
-        count = 0;
-        flat = true;
-        if (!stopped) {
-            bytes.readerIndex(at);
-            if (!bytes.isReadable()) {
-                release();
+        try {
+            user.value(this);
+        } finally {
+            // Guards the next values against a slip in the hearing of this one: it is not told again.
+            count = 0;
+            flat = true;
+            if (!stopped) {
+                bytes.readerIndex(at);
+                if (!bytes.isReadable()) {
+                    release();
+                }
             }
         }
     }
--- a/gateway/src/test/java/opalcove/platform/RespReaderTest.java
+++ b/gateway/src/test/java/opalcove/platform/RespReaderTest.java
@@ -1,6 +1,7 @@
 package opalcove.platform;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertThrows;
 
 import io.netty.buffer.ByteBuf;
 import io.netty.buffer.PooledByteBufAllocator;
@@ -120,4 +121,31 @@
         assertEquals(List.of("one"), heard);
         assertEquals(0, bytes.refCnt());
     }
+
+    /** A slip in the hearing of one value neither tells it again nor loses the next. */
+    @Example
+    void aValueIsToldOnceEvenIfItsHearingFails() {
+        List<String> heard = new ArrayList<>();
+        RespReader reader = new RespReader(MOST_ITEMS, new RespReader.User() {
+            @Override
+            public void value(RespReader value) {
+                heard.add(value.text(0));
+                if (heard.size() == 1) {
+                    throw new IllegalStateException("a slip");
+                }
+            }
+
+            @Override
+            public void broken(String reason) {
+                heard.add(reason);
+            }
+        });
+        byte[] one = "+one\r\n+two\r\n".getBytes(StandardCharsets.US_ASCII);
+        assertThrows(IllegalStateException.class, () -> reader.take(
+                PooledByteBufAllocator.DEFAULT.directBuffer(64).writeBytes(one)));
+        reader.take(PooledByteBufAllocator.DEFAULT.directBuffer(64)
+                .writeBytes("+three\r\n".getBytes(StandardCharsets.US_ASCII)));
+        assertEquals(List.of("one", "two", "three"), heard);
+        reader.stop();
+    }
 }
--- a/laboratory/src/main/java/opalcove/laboratory/AppNodeStandIn.java
+++ b/laboratory/src/main/java/opalcove/laboratory/AppNodeStandIn.java
@@ -23,15 +23,16 @@
  */
 public final class AppNodeStandIn implements AutoCloseable {
     private final EventLoopGroup group = new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
+    private final ByteBuf bytes;
     private final Channel server;
 
     /** Opens the node; a value has that many bytes, work takes that many milliseconds (0: none). */
     public AppNodeStandIn(int valueBytes, long workMs) throws InterruptedException {
         String head = "*3\r\n$" + valueBytes + "\r\n";
         String tail = "\r\n$14\r\nused=12,cost=1\r\n$8\r\nsvc_ms=5\r\n";
-        ByteBuf answer = Unpooled.unreleasableBuffer(Unpooled.directBuffer()
-                .writeBytes(head.getBytes(StandardCharsets.US_ASCII)).writeBytes("v".repeat(valueBytes)
-                        .getBytes(StandardCharsets.US_ASCII)).writeBytes(tail.getBytes(StandardCharsets.US_ASCII)));
+        bytes = Unpooled.directBuffer();
+        bytes.writeCharSequence(head + "v".repeat(valueBytes) + tail, StandardCharsets.US_ASCII);
+        ByteBuf answer = Unpooled.unreleasableBuffer(bytes);
         server = new ServerBootstrap().group(group).channel(NioServerSocketChannel.class)
                 .option(ChannelOption.SO_BACKLOG, 1024).childOption(ChannelOption.TCP_NODELAY, true)
                 .childHandler(new ChannelInitializer<>() {
@@ -49,6 +50,7 @@
     @Override
     public void close() {
         group.shutdownGracefully(0, 1, TimeUnit.SECONDS).syncUninterruptibly();
+        bytes.release();
     }
 
     private static final class Commands extends ByteToMessageDecoder {
--- a/laboratory/src/main/java/opalcove/laboratory/Guard.java
+++ b/laboratory/src/main/java/opalcove/laboratory/Guard.java
@@ -18,8 +18,8 @@
     public static final double MOST_GROWTH = 0.05;
     /** Growth below this is none, whatever its share: parts of a byte or of a call. */
     private static final double LEAST = 0.02;
-    private static final long REST_NS = 2_000_000;
-    private static final int WARM = 4000;
+    private static final long REST_NS = 6_000_000;
+    private static final int WARM = 3200;
     /** What the machine does meanwhile can only add to a count, so the least of these is the ask's own. */
     private static final int REPEATS = 2;
 
@@ -28,11 +28,11 @@
 
     private static final List<Case> CASES = List.of(
             new Case("resp, alone, 16 B", false, 1, 16, 0, 0, 8000),
-            new Case("resp, 16 pipelined, 16 B", false, 16, 16, 0, 0, 8000),
-            new Case("resp, 64 pipelined, 16 B", false, 64, 16, 0, 0, 16_000),
-            new Case("resp, 16 pipelined, 64 KiB", false, 16, 65_536, 0, 0, 6000),
-            new Case("resp, 16 pipelined, records of 1 KiB", false, 16, 16, 1, 1024, 8000),
-            new Case("mqtt, 16 pipelined, 16 B", true, 16, 16, 0, 0, 8000));
+            new Case("resp, 16 pipelined, 16 B", false, 16, 16, 0, 0, 3200),
+            new Case("resp, 64 pipelined, 16 B", false, 64, 16, 0, 0, 9600),
+            new Case("resp, 16 pipelined, 64 KiB", false, 16, 65_536, 0, 0, 3200),
+            new Case("resp, 16 pipelined, records of 1 KiB", false, 16, 16, 1, 1024, 3200),
+            new Case("mqtt, 16 pipelined, 16 B", true, 16, 16, 0, 0, 3200));
 
     private Guard() {
     }
