Set the second settling timer only where no answers came, as was meant

Need: read once more, LinkPool compared what had been read with itself: the lambda looked at it when its timer fired, not when it was set, so the second timer was set each time, busy or not. Two loop handlers forwarded the same calls word for word, and LoadPlan.asks had no caller.

Change: the figure is taken when the timer is set, and one function does both timers; AroundHandler forwards for both handlers; the dead method is gone. Lines settle by the same rule as before.

--- a/gateway/src/main/java/opalcove/gateway/LinkPool.java
+++ b/gateway/src/main/java/opalcove/gateway/LinkPool.java
@@ -185,8 +185,7 @@
             vertx.runOnContext(turnEnd);
         }
         if (!watching) {
-            watching = true;
-            vertx.setTimer(SETTLE_MS, due -> settleWithoutAnswers(readUpTo));
+            watchSettling();
         }
     }
 
@@ -196,22 +195,25 @@
         lastTurnEnd = System.nanoTime();
     }
 
-    private void settleWithoutAnswers(long before) {
+    /** Sees to lines that settle while no answers come. */
+    private void watchSettling() {
         watching = !settling.isEmpty();
-        if (watching && readUpTo == before) {
-            long now = System.nanoTime();
-            // By the time that a timer set now is due, the loop has read once more.
-            vertx.setTimer(1, due -> {
-                readUpTo(now);
-                watching = false;
-                if (!settling.isEmpty()) {
-                    watching = true;
-                    vertx.setTimer(SETTLE_MS, again -> settleWithoutAnswers(readUpTo));
-                }
-            });
-        } else if (watching) {
-            vertx.setTimer(SETTLE_MS, due -> settleWithoutAnswers(readUpTo));
+        if (!watching) {
+            return;
         }
+        long before = readUpTo;
+        vertx.setTimer(SETTLE_MS, due -> {
+            if (readUpTo > before) {
+                watchSettling();
+            } else {
+                long now = System.nanoTime();
+                // By the time that a timer set now is due, the loop has read once more.
+                vertx.setTimer(1, again -> {
+                    readUpTo(now);
+                    watchSettling();
+                });
+            }
+        });
     }
 
     /** All that had come by then has been read. */
--- a/gateway/src/main/java/opalcove/loop/PatientTransport.java
+++ b/gateway/src/main/java/opalcove/loop/PatientTransport.java
@@ -1,10 +1,8 @@
 package opalcove.loop;
 
-import io.netty.channel.IoHandle;
 import io.netty.channel.IoHandler;
 import io.netty.channel.IoHandlerContext;
 import io.netty.channel.IoHandlerFactory;
-import io.netty.channel.IoRegistration;
 import io.netty.util.concurrent.ThreadAwareExecutor;
 import io.vertx.core.impl.transports.NioTransport;
 
@@ -30,18 +28,17 @@
     }
 
     /** Hands its loop's handler a context in which what is to be waited for is a little further away. */
-    private static final class Patient implements IoHandler, IoHandlerContext {
-        private final IoHandler handler;
+    private static final class Patient extends AroundHandler implements IoHandlerContext {
         private IoHandlerContext loop;
 
         Patient(IoHandler handler) {
-            this.handler = handler;
+            super(handler);
         }
 
         @Override
         public int run(IoHandlerContext context) {
             loop = context;
-            return handler.run(this);
+            return super.run(this);
         }
 
         @Override
@@ -73,35 +70,5 @@
         private static long later(long delayNanos) {
             return delayNanos <= 0 || delayNanos > Long.MAX_VALUE - PART_NS ? delayNanos : delayNanos + PART_NS;
         }
-
-        @Override
-        public void initialize() {
-            handler.initialize();
-        }
-
-        @Override
-        public void prepareToDestroy() {
-            handler.prepareToDestroy();
-        }
-
-        @Override
-        public void destroy() {
-            handler.destroy();
-        }
-
-        @Override
-        public IoRegistration register(IoHandle handle) throws Exception {
-            return handler.register(handle);
-        }
-
-        @Override
-        public void wakeup() {
-            handler.wakeup();
-        }
-
-        @Override
-        public boolean isCompatible(Class<? extends IoHandle> type) {
-            return handler.isCompatible(type);
-        }
     }
 }
--- a/laboratory/src/main/java/opalcove/laboratory/CountingTransport.java
+++ b/laboratory/src/main/java/opalcove/laboratory/CountingTransport.java
@@ -8,11 +8,9 @@
 import io.netty.channel.ChannelOutboundHandlerAdapter;
 import io.netty.channel.ChannelPromise;
 import io.netty.channel.EventLoopGroup;
-import io.netty.channel.IoHandle;
 import io.netty.channel.IoHandler;
 import io.netty.channel.IoHandlerContext;
 import io.netty.channel.IoHandlerFactory;
-import io.netty.channel.IoRegistration;
 import io.netty.channel.MultiThreadIoEventLoopGroup;
 import io.netty.channel.ServerChannel;
 import io.netty.channel.nio.NioIoHandler;
@@ -24,6 +22,7 @@
 import java.util.List;
 import java.util.concurrent.ThreadFactory;
 import java.util.concurrent.locks.LockSupport;
+import opalcove.loop.AroundHandler;
 import opalcove.loop.PatientTransport;
 
 /**
@@ -64,16 +63,9 @@
         return domainSocket ? super.serverChannelFactory(true) : CountingServer::new;
     }
 
-    private final class CountingHandler implements IoHandler {
-        private final IoHandler handler;
-
+    private final class CountingHandler extends AroundHandler {
         CountingHandler(IoHandler handler) {
-            this.handler = handler;
-        }
-
-        @Override
-        public void initialize() {
-            handler.initialize();
+            super(handler);
         }
 
         @Override
@@ -82,33 +74,13 @@
                 LockSupport.parkNanos(restNs);
             }
             counts.waits++;
-            return handler.run(context);
-        }
-
-        @Override
-        public void prepareToDestroy() {
-            handler.prepareToDestroy();
-        }
-
-        @Override
-        public void destroy() {
-            handler.destroy();
-        }
-
-        @Override
-        public IoRegistration register(IoHandle handle) throws Exception {
-            return handler.register(handle);
+            return super.run(context);
         }
 
         @Override
         public void wakeup() {
             counts.tasks++;
-            handler.wakeup();
-        }
-
-        @Override
-        public boolean isCompatible(Class<? extends IoHandle> type) {
-            return handler.isCompatible(type);
+            super.wakeup();
         }
     }
 
--- a/laboratory/src/main/java/opalcove/laboratory/LoadPlan.java
+++ b/laboratory/src/main/java/opalcove/laboratory/LoadPlan.java
@@ -24,10 +24,6 @@
         }
     }
 
-    LoadPlan asks(int number) {
-        return new LoadPlan(mqtt, host, port, connections, depth, rate, number, operators, records, bodyBytes, waitMs);
-    }
-
     LoadPlan at(int otherPort) {
         return new LoadPlan(mqtt, host, otherPort, connections, depth, rate, asks, operators, records, bodyBytes,
                 waitMs);
