Have the guard count in lockstep with load and node

Cause: the build went red on another machine: 'mqtt, 16 pipelined: reads grew from 1.063 to 1.119'. The loop rested a fixed 6 ms before each look at its sockets, and an answer that came later than that split a round in two.

Change: before each look the metered loop asks the laboratory, which answers once a whole look of load's and node's loops found nothing left to read (Lockstep).

--- a/cli/src/main/java/opalcove/cli/MeterCommand.java
+++ b/cli/src/main/java/opalcove/cli/MeterCommand.java
@@ -5,13 +5,18 @@
 import java.util.concurrent.Callable;
 import opalcove.laboratory.LoadPlan;
 import opalcove.laboratory.Meter;
+import picocli.CommandLine;
 import picocli.CommandLine.Command;
 import picocli.CommandLine.Mixin;
+import picocli.CommandLine.Model.CommandSpec;
 import picocli.CommandLine.Option;
+import picocli.CommandLine.Spec;
 
 @Command(name = "meter", mixinStandardHelpOptions = true, versionProvider = Opalcove.Version.class,
         description = "Counts what an ask costs a gateway: allocations, calls, copies and processor time.")
 final class MeterCommand implements Callable<Integer> {
+    @Spec
+    private CommandSpec spec;
     @Mixin
     private LoadOptions options;
     @Option(names = "--value", paramLabel = "BYTES", defaultValue = "16", description = "what a node answers"
@@ -23,9 +28,9 @@
     @Option(names = "--work", paramLabel = "MS", defaultValue = "0", description = "time that a node takes"
             + " (default: ${DEFAULT-VALUE})")
     private long work;
-    @Option(names = "--rest", paramLabel = "MS", defaultValue = "0", description = "have the loop rest before each look"
-            + " at its sockets: batches as large as they can be (default: ${DEFAULT-VALUE})")
-    private double rest;
+    @Option(names = "--lockstep", description = "have the loop look at its sockets only when load and node have done all"
+            + " they can: the same batches each time, as large as they can be")
+    private boolean lockstep;
     @Option(names = "--warm", paramLabel = "N", defaultValue = "20000", description = "asks before the counting"
             + " (default: ${DEFAULT-VALUE})")
     private int warm;
@@ -38,8 +43,12 @@
 
     @Override
     public Integer call() throws Exception {
+        if (lockstep && verify) {
+            throw new CommandLine.ParameterException(spec.commandLine(),
+                    "--verify counts the calls of --lockstep, too: one of them at a time");
+        }
         LoadPlan plan = options.plan("127.0.0.1", 0);
-        try (Meter meter = new Meter(plan, new Meter.Nodes(nodes, value, work), (long) (rest * 1e6), warm, System.err::println)) {
+        try (Meter meter = new Meter(plan, new Meter.Nodes(nodes, value, work), lockstep, warm, System.err::println)) {
             Meter.Costs costs = meter.measure(plan.asks(), classes);
             JsonObject told = costs.json();
             if (!json) {
--- a/laboratory/src/main/java/opalcove/laboratory/AppNodeStandIn.java
+++ b/laboratory/src/main/java/opalcove/laboratory/AppNodeStandIn.java
@@ -22,12 +22,18 @@
  * own. It parses no more than it must, so that it is not what is measured.
  */
 public final class AppNodeStandIn implements AutoCloseable {
-    private final EventLoopGroup group = new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
+    private final EventLoopGroup group;
     private final ByteBuf bytes;
     private final Channel server;
 
     /** Opens the node; a value has that many bytes, work takes that many milliseconds (0: none). */
     public AppNodeStandIn(int valueBytes, long workMs) throws InterruptedException {
+        this(new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory()), valueBytes, workMs);
+    }
+
+    /** On a loop that becomes this node's own. */
+    AppNodeStandIn(EventLoopGroup group, int valueBytes, long workMs) throws InterruptedException {
+        this.group = group;
         String head = "*3\r\n$" + valueBytes + "\r\n";
         String tail = "\r\n$14\r\nused=12,cost=1\r\n$8\r\nsvc_ms=5\r\n";
         bytes = Unpooled.directBuffer();
--- a/laboratory/src/main/java/opalcove/laboratory/CountingTransport.java
+++ b/laboratory/src/main/java/opalcove/laboratory/CountingTransport.java
@@ -21,7 +21,6 @@
 import java.nio.channels.SocketChannel;
 import java.util.List;
 import java.util.concurrent.ThreadFactory;
-import java.util.concurrent.locks.LockSupport;
 import opalcove.loop.AroundHandler;
 import opalcove.loop.PatientTransport;
 
@@ -31,15 +30,15 @@
  */
 final class CountingTransport extends PatientTransport {
     private final Counts counts;
-    private final long restNs;
+    private final Lockstep.Asking lockstep;
 
     /**
-     * Counts here. With a rest above 0, ns, the loop rests that long before each look at its sockets: by then all that is
-     * under way has come, so what one turn takes in is as much as it can be, and the same each time.
+     * Counts here. In lockstep (null: not) the loop looks at its sockets only when nobody else has anything left to do, so
+     * what one turn takes in is as much as it can be, and the same each time.
      */
-    CountingTransport(Counts counts, long restNs) {
+    CountingTransport(Counts counts, Lockstep.Asking lockstep) {
         this.counts = counts;
-        this.restNs = restNs;
+        this.lockstep = lockstep;
     }
 
     @Override
@@ -70,8 +69,8 @@
 
         @Override
         public int run(IoHandlerContext context) {
-            if (restNs > 0) {
-                LockSupport.parkNanos(restNs);
+            if (lockstep != null) {
+                lockstep.await();
             }
             counts.waits++;
             return super.run(context);
--- a/laboratory/src/main/java/opalcove/laboratory/Guard.java
+++ b/laboratory/src/main/java/opalcove/laboratory/Guard.java
@@ -10,15 +10,14 @@
 import java.util.function.Consumer;
 
 /**
- * Holds what an ask costs against a baseline. Counts alone are held, never times: the loop rests before each look at its
- * sockets, so that a machine's speed decides nothing, and the gateway is warm before the counting.
+ * Holds what an ask costs against a baseline. Counts alone are held, never times: the pipelined cases go in
+ * {@link Lockstep}, so that a machine's speed decides nothing, and the gateway is warm before the counting.
  */
 public final class Guard {
     /** What a count may grow by before it fails. */
     public static final double MOST_GROWTH = 0.05;
     /** Growth below this is none, whatever its share: parts of a byte or of a call. */
     private static final double LEAST = 0.02;
-    private static final long REST_NS = 6_000_000;
     private static final int WARM = 3200;
     /** What the machine does meanwhile can only add to a count, so the least of these is the ask's own. */
     private static final int REPEATS = 2;
@@ -45,7 +44,7 @@
             LoadPlan plan = new LoadPlan(each.mqtt(), "127.0.0.1", 0, 1, each.depth(), 0, each.asks(), 40, each.records(),
                     each.bodyBytes(), 7500);
             try (Meter meter = new Meter(plan, new Meter.Nodes(12, each.valueBytes(), 0),
-                    each.depth() == 1 ? 0 : REST_NS, WARM, progress)) {
+                    each.depth() > 1, WARM, progress)) {
                 Map<String, Double> row = new LinkedHashMap<>();
                 for (int i = 0; i < REPEATS; i++) {
                     Meter.Costs costs = meter.measure(each.asks(), true);
--- a/laboratory/src/main/java/opalcove/laboratory/Load.java
+++ b/laboratory/src/main/java/opalcove/laboratory/Load.java
@@ -33,7 +33,7 @@
         void ask(Channel channel, long number, long startedAt);
     }
 
-    private final EventLoopGroup group = new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
+    private final EventLoopGroup group;
     private final LoadPlan plan;
     private final Consumer<String> progress;
     private final List<Channel> channels = new ArrayList<>();
@@ -51,6 +51,12 @@
 
     /** Opens the plan's connections. Progress lines come about once a second while a run lasts. */
     public Load(LoadPlan plan, Consumer<String> progress) throws Exception {
+        this(new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory()), plan, progress);
+    }
+
+    /** On a loop that becomes this load's own. */
+    Load(EventLoopGroup group, LoadPlan plan, Consumer<String> progress) throws Exception {
+        this.group = group;
         this.plan = plan;
         this.progress = progress;
         asks = new Asks(plan);
--- a/laboratory/src/main/java/opalcove/laboratory/Meter.java
+++ b/laboratory/src/main/java/opalcove/laboratory/Meter.java
@@ -47,21 +47,26 @@
     private final BufferedReader answers;
     private final PrintStream commands;
     private final Load load;
+    private final Lockstep lockstep;
 
     /**
-     * Starts gateway and node, opens the connections of the plan and warms the gateway with that many asks. The gateway's
-     * loop rests so long, ns, before each look at its sockets (0: not at all).
+     * Starts gateway and node, opens the connections of the plan and warms the gateway with that many asks. In
+     * lockstep the gateway's loop looks at its sockets only when load and node have done all they can.
      */
-    public Meter(LoadPlan plan, Nodes nodes, long restNs, int warmAsks, Consumer<String> progress) throws Exception {
-        node = new AppNodeStandIn(nodes.valueBytes(), nodes.workMs());
+    public Meter(LoadPlan plan, Nodes nodes, boolean lockstep, int warmAsks, Consumer<String> progress) throws Exception {
+        Lockstep.Still nodeLoop = new Lockstep.Still();
+        Lockstep.Still loadLoop = new Lockstep.Still();
+        node = new AppNodeStandIn(nodeLoop.group(), nodes.valueBytes(), nodes.workMs());
+        this.lockstep = lockstep ? new Lockstep(List.of(nodeLoop, loadLoop)) : null;
         List<String> command = new ArrayList<>(List.of(java()));
         command.addAll(FLAGS);
         command.addAll(List.of("-cp", System.getProperty("java.class.path"), MeteredGateway.class.getName(),
-                plan.mqtt() ? "mqtt" : "resp", Integer.toString(nodes.number()), Integer.toString(node.port()), Long.toString(restNs)));
+                plan.mqtt() ? "mqtt" : "resp", Integer.toString(nodes.number()), Integer.toString(node.port()),
+                Integer.toString(this.lockstep == null ? 0 : this.lockstep.port())));
         gateway = new ProcessBuilder(command).redirectError(ProcessBuilder.Redirect.DISCARD).start();
         answers = gateway.inputReader(StandardCharsets.UTF_8);
         commands = new PrintStream(gateway.getOutputStream(), true, StandardCharsets.UTF_8);
-        load = new Load(plan.at(Integer.parseInt(line())), progress);
+        load = new Load(loadLoop.group(), plan.at(Integer.parseInt(line())), progress);
         load.run(warmAsks);
     }
 
@@ -149,13 +154,16 @@
 
     @Override
     public void close() {
-        load.close();
-        node.close();
         gateway.destroy();
         try {
             gateway.waitFor(10, TimeUnit.SECONDS);
         } catch (InterruptedException e) {
             Thread.currentThread().interrupt();
         }
+        load.close();
+        node.close();
+        if (lockstep != null) {
+            lockstep.close();
+        }
     }
 }
--- a/laboratory/src/main/java/opalcove/laboratory/MeteredGateway.java
+++ b/laboratory/src/main/java/opalcove/laboratory/MeteredGateway.java
@@ -45,14 +45,15 @@
     private final CompletableFuture<Integer> port = new CompletableFuture<>();
     private volatile long loopThread;
 
-    private MeteredGateway(long restNs) {
+    private MeteredGateway(Lockstep.Asking lockstep) {
         vertx = VertxBootstrap.create().options(new VertxOptions().setEventLoopPoolSize(1).setWorkerPoolSize(1)
-                .setInternalBlockingPoolSize(1)).transport(new CountingTransport(counts, restNs)).init().vertx();
+                .setInternalBlockingPoolSize(1)).transport(new CountingTransport(counts, lockstep)).init().vertx();
     }
 
-    /** Arguments: the front, resp or mqtt; the number of app nodes in the list; their one port; the loop's rest, ns. */
+    /** Arguments: the front, resp or mqtt; the number of app nodes in the list; their one port; that of the lockstep (0: none). */
     public static void main(String[] args) throws Exception {
-        MeteredGateway gateway = new MeteredGateway(Long.parseLong(args[3]));
+        MeteredGateway gateway = new MeteredGateway(args[3].equals("0") ? null
+                : new Lockstep.Asking(Integer.parseInt(args[3])));
         gateway.start(args[0], Integer.parseInt(args[1]), Integer.parseInt(args[2]));
         PrintStream out = new PrintStream(new FileOutputStream(FileDescriptor.out), true, StandardCharsets.UTF_8);
         out.println(gateway.port.get());
