Tell proxies their resources over xDS, in both variants, with refusals and order

Need: other installations run other proxies at the door and want our choices of node and drain, not our data path.

Change: module control. Streams' state without I/O (views, wildcard, named and on-demand subscriptions, nonces, refusals narrowed down to the resource at fault, make before break, lifetimes), and the aggregated and single services on grpc-java with the Envoy API classes. A stream owes the latest state and waits for no answer; versions come from content.

The gateway's jar is untouched.

--- /dev/null
+++ b/control/src/test/java/opalcove/control/LayersTest.java
@@ -0,0 +1,19 @@
+package opalcove.control;
+
+import static com.tngtech.archunit.lang.syntax.ArchRuleDefinition.noClasses;
+
+import com.tngtech.archunit.core.importer.ClassFileImporter;
+import com.tngtech.archunit.core.importer.ImportOption;
+import org.testng.annotations.Test;
+
+public class LayersTest {
+    /** What streams owe and what is decided is free of sockets, threads, files and clocks. */
+    @Test
+    public void theStateOfStreamsIsFreeOfIo() {
+        noClasses().that().resideInAPackage("opalcove.control.xds..").should().dependOnClassesThat()
+                .resideInAnyPackage("opalcove.control.server..", "io.grpc..", "io.vertx..", "io.netty..", "java.net..",
+                        "java.nio.file..", "java.util.concurrent..")
+                .check(new ClassFileImporter().withImportOption(ImportOption.Predefined.DO_NOT_INCLUDE_TESTS)
+                        .importPackages("opalcove.control"));
+    }
+}
--- /dev/null
+++ b/control/src/test/java/opalcove/control/xds/Proxy.java
@@ -0,0 +1,128 @@
+package opalcove.control.xds;
+
+import com.google.protobuf.InvalidProtocolBufferException;
+import com.google.rpc.Status;
+import io.envoyproxy.envoy.config.cluster.v3.Cluster;
+import io.envoyproxy.envoy.config.endpoint.v3.ClusterLoadAssignment;
+import io.envoyproxy.envoy.config.listener.v3.Listener;
+import io.envoyproxy.envoy.config.route.v3.RouteConfiguration;
+import io.envoyproxy.envoy.service.discovery.v3.DeltaDiscoveryRequest;
+import io.envoyproxy.envoy.service.discovery.v3.DeltaDiscoveryResponse;
+import io.envoyproxy.envoy.service.discovery.v3.DiscoveryRequest;
+import io.envoyproxy.envoy.service.discovery.v3.DiscoveryResponse;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.TreeSet;
+
+/** A scripted proxy on a stream, and a view that it looks at. What it was told is written as lines. */
+final class Proxy {
+    View view = View.EMPTY;
+    double now;
+    final ProxyStream<DiscoveryRequest, DiscoveryResponse> sotw = ProxyStream.sotw("n", false);
+    final ProxyStream<DeltaDiscoveryRequest, DeltaDiscoveryResponse> delta = ProxyStream.delta("n");
+    final List<DiscoveryResponse> responses = new ArrayList<>();
+    final List<DeltaDiscoveryResponse> changes = new ArrayList<>();
+
+    static Resource resource(ResourceType type, String name, int content) {
+        return Resource.of(type, name, 0, switch (type) {
+            case CLUSTER -> Cluster.newBuilder().setName(name).setAltStatName("" + content).build();
+            case ENDPOINTS -> ClusterLoadAssignment.newBuilder().setClusterName(name)
+                    .setPolicy(ClusterLoadAssignment.Policy.newBuilder().addDropOverloads(
+                            ClusterLoadAssignment.Policy.DropOverload.newBuilder().setCategory("" + content))).build();
+            case LISTENER -> Listener.newBuilder().setName(name).setStatPrefix("" + content).build();
+            case ROUTES -> RouteConfiguration.newBuilder().setName(name).addInternalOnlyHeaders("" + content).build();
+        });
+    }
+
+    Proxy set(ResourceType type, int content, String... names) {
+        List<Resource> set = new ArrayList<>();
+        for (String name : names) {
+            set.add(resource(type, name, content));
+        }
+        view = view.with(set, Map.of());
+        return this;
+    }
+
+    Proxy remove(ResourceType type, String... names) {
+        view = view.with(List.of(), Map.of(type, List.of(names)));
+        return this;
+    }
+
+    /** Asks for names on the state-of-the-world stream. */
+    void ask(ResourceType type, String nonce, String... names) {
+        sotw.request(type, DiscoveryRequest.newBuilder().setTypeUrl(type.url()).setResponseNonce(nonce)
+                .addAllResourceNames(List.of(names)).build(), now);
+    }
+
+    void refuse(ResourceType type, String nonce, String reason, String... names) {
+        sotw.request(type, DiscoveryRequest.newBuilder().setTypeUrl(type.url()).setResponseNonce(nonce)
+                .addAllResourceNames(List.of(names)).setErrorDetail(Status.newBuilder().setCode(3).setMessage(reason))
+                .build(), now);
+    }
+
+    /** What it is told now: {@code TYPE nonce: names}, a response a line. */
+    String told() {
+        StringBuilder text = new StringBuilder();
+        for (DiscoveryResponse each : sotw.due(view, now)) {
+            responses.add(each);
+            text.append(line(each.getTypeUrl(), each.getNonce(), names(each), List.of()));
+        }
+        return text.toString().strip();
+    }
+
+    DeltaDiscoveryRequest.Builder change(ResourceType type, String nonce) {
+        return DeltaDiscoveryRequest.newBuilder().setTypeUrl(type.url()).setResponseNonce(nonce);
+    }
+
+    void subscribe(ResourceType type, String... names) {
+        delta.request(type, change(type, "").addAllResourceNamesSubscribe(List.of(names)).build(), now);
+    }
+
+    void unsubscribe(ResourceType type, String... names) {
+        delta.request(type, change(type, "").addAllResourceNamesUnsubscribe(List.of(names)).build(), now);
+    }
+
+    void take(ResourceType type, String nonce) {
+        delta.request(type, change(type, nonce).build(), now);
+    }
+
+    void reject(ResourceType type, String nonce, String reason) {
+        delta.request(type, change(type, nonce).setErrorDetail(Status.newBuilder().setCode(3).setMessage(reason)).build(),
+                now);
+    }
+
+    /** What it is told now on the incremental stream: {@code TYPE nonce: names -removed}. */
+    String changed() {
+        StringBuilder text = new StringBuilder();
+        for (DeltaDiscoveryResponse each : delta.due(view, now)) {
+            changes.add(each);
+            text.append(line(each.getTypeUrl(), each.getNonce(), each.getResourcesList().stream()
+                    .map(io.envoyproxy.envoy.service.discovery.v3.Resource::getName).toList(),
+                    each.getRemovedResourcesList()));
+        }
+        return text.toString().strip();
+    }
+
+    private static String line(String url, String nonce, List<String> names, List<String> removed) {
+        StringBuilder text = new StringBuilder(ResourceType.of(url) + " " + nonce + ":");
+        new TreeSet<>(names).forEach(name -> text.append(' ').append(name));
+        new TreeSet<>(removed).forEach(name -> text.append(" -").append(name));
+        return text.append('\n').toString();
+    }
+
+    private static List<String> names(DiscoveryResponse response) {
+        return response.getResourcesList().stream().map(any -> {
+            try {
+                return switch (ResourceType.of(any.getTypeUrl())) {
+                    case CLUSTER -> any.unpack(Cluster.class).getName();
+                    case ENDPOINTS -> any.unpack(ClusterLoadAssignment.class).getClusterName();
+                    case LISTENER -> any.unpack(Listener.class).getName();
+                    case ROUTES -> any.unpack(RouteConfiguration.class).getName();
+                };
+            } catch (InvalidProtocolBufferException e) {
+                throw new IllegalStateException(e);
+            }
+        }).toList();
+    }
+}
