Have the decision module's word on nodes reach proxies as weights

Need: proxies are to get the module's choices of node, cold starts and drains, without deciding a second time.

Change: Policy gives its view of hosts (rooms) and takes in what load reports say (reported); the ordinary path is as it was. opalcove.control.fleet hosts it without I/O and makes a view for each room: clusters by kind and pod, the own room first, drains at once, starting nodes by the module's ramp, lists that lack too much at once not believed.

--- /dev/null
+++ b/control/src/main/java/opalcove/control/fleet/Fleet.java
@@ -0,0 +1,242 @@
+package opalcove.control.fleet;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.LinkedHashMap;
+import java.util.LinkedHashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.PriorityQueue;
+import java.util.Set;
+import java.util.TreeMap;
+import java.util.TreeSet;
+import opalcove.control.xds.Resource;
+import opalcove.control.xds.Resources;
+import opalcove.control.xds.View;
+import opalcove.decision.Admission;
+import opalcove.decision.Policy;
+import opalcove.gateway.AppNode;
+
+/**
+ * Decides what proxies see of the app nodes. Free of I/O: node list, load reports and time go in, a view for each room comes
+ * out. Which node takes new work, and how much of its room, is the decision module's word alone; this turns it into
+ * weights and priorities.
+ *
+ * <p>A starting node has a weight, a part of a warm node's. Each proxy sends it that part of what it sends anyhow, so the sum is
+ * independent of how many proxies there are, and of who joins.
+ */
+public final class Fleet {
+    /** Weights are whole numbers; a warm node of size 1 has this one. */
+    static final int FULL = 100;
+    /** A share that moved by less than this part of it is not told. */
+    private static final double STEP = 0.1;
+    /** From this share on it is all. */
+    private static final double ALL = 0.99;
+
+    /**
+     * A cluster of proxies: the nodes of some kinds and pods (none named: all).
+     *
+     * @param leaseMs lifetime of its endpoints, ms; 0: none
+     */
+    public record Cluster(String name, Set<String> kinds, Set<Integer> pods, long leaseMs) {
+        boolean holds(Admission.Host host) {
+            return (kinds.isEmpty() || kinds.contains(host.kind())) && (pods.isEmpty() || pods.contains(host.cell()));
+        }
+    }
+
+    private record Alarm(double at, long token) { }
+
+    private final Policy module;
+    private final List<Cluster> clusters;
+    private final PriorityQueue<Alarm> alarms = new PriorityQueue<>((a, b) -> Double.compare(a.at, b.at));
+    private final ListGuard guard;
+    private final Map<String, AppNode> nodes = new LinkedHashMap<>();
+    /** By node, as told; those of nodes that left go with them. */
+    private final Map<String, Double> shares = new HashMap<>();
+    private final Map<String, View> views = new TreeMap<>();
+    private final Set<String> rooms = new TreeSet<>();
+    private final List<Resource> routing;
+    private double now;
+
+    /** Routing: listeners and routes that all proxies see beside the clusters. */
+    public Fleet(double now, Admission.Settings settings, long seed, double mostShrink, List<Cluster> clusters,
+                 List<Resource> routing) {
+        this.now = now;
+        this.clusters = List.copyOf(clusters);
+        this.routing = List.copyOf(routing);
+        guard = new ListGuard(mostShrink);
+        module = new Policy(now, settings, seed, new Alarms());
+    }
+
+    /** The module hands choices on here, and is not asked for single requests: of its actions only alarms can come. */
+    private final class Alarms implements Admission.Actions {
+        @Override
+        public void wake(long token, double afterMs) {
+            alarms.add(new Alarm(now + afterMs, token));
+        }
+
+        @Override
+        public void send(String id, String host, double timeoutMs) {
+            throw new IllegalStateException("no request was given to the module");
+        }
+
+        @Override
+        public void refuse(String id, double retryAfterMs) {
+            throw new IllegalStateException("no request was given to the module");
+        }
+
+        @Override
+        public void fail(String id) {
+            throw new IllegalStateException("no request was given to the module");
+        }
+
+        @Override
+        public void cancel(String id, int attempt) {
+            throw new IllegalStateException("no request was given to the module");
+        }
+
+        @Override
+        public void probe(String host) {
+            // Never asked for: settings of a control service do not allow probes.
+        }
+
+        @Override
+        public void follow() {
+            // Whoever owns the source follows it from the start.
+        }
+
+        @Override
+        public void log(String line) {
+            // The module writes of single requests alone.
+        }
+    }
+
+    /** Takes in a whole node list or changed lines, with the operators' override of the guard against shrinking. */
+    public void told(double time, boolean whole, boolean override, List<AppNode> lines) {
+        now = Math.max(now, time);
+        List<AppNode> believed = guard.told(whole, override, lines);
+        nodes.clear();
+        believed.forEach(node -> nodes.put(node.name(), node));
+        module.hosts(now, true, believed.stream().map(AppNode::host).toList());
+        look();
+    }
+
+    /** Takes in that a source of the node list failed; what was known stays. */
+    public void sourceFailed(double time) {
+        now = Math.max(now, time);
+        module.hostsFailed(now);
+    }
+
+    /** Takes in what proxies report of a node: ended work, and its mean time, ms (below 0: not known). */
+    public void reported(double time, String node, long served, long failed, double meanMs) {
+        now = Math.max(now, time);
+        module.reported(now, node, served, failed, meanMs);
+    }
+
+    /** Lets the module's alarms due by now go off, and looks at the views anew. True where a view has changed. */
+    public boolean advance(double time) {
+        now = Math.max(now, time);
+        boolean any = false;
+        while (!alarms.isEmpty() && alarms.peek().at <= now) {
+            module.timer(now, alarms.poll().token);
+            any = true;
+        }
+        return any && look();
+    }
+
+    /** When {@link #advance} has something to do next. */
+    public double nextAlarm() {
+        return alarms.isEmpty() ? Double.POSITIVE_INFINITY : alarms.peek().at;
+    }
+
+    /** What a proxy in that room sees. A room without nodes sees all others at one priority. */
+    public View view(String room) {
+        return views.computeIfAbsent(rooms.contains(room) ? room : "", this::made);
+    }
+
+    /** Nodes that the last whole list lacked and that are kept nonetheless. */
+    public Set<String> missing() {
+        return guard.missing();
+    }
+
+    private boolean look() {
+        weigh();
+        rooms.clear();
+        nodes.values().forEach(node -> rooms.add(node.host().zone()));
+        views.keySet().removeIf(room -> !room.isEmpty() && !rooms.contains(room));
+        boolean changed = false;
+        for (Map.Entry<String, View> each : views.entrySet()) {
+            View next = each.getValue().with(resources(each.getKey()), Map.of());
+            changed |= next != each.getValue();
+            each.setValue(next);
+        }
+        return changed;
+    }
+
+    private View made(String room) {
+        return View.EMPTY.with(resources(room), Map.of());
+    }
+
+    private List<Resource> resources(String room) {
+        List<Resource> resources = new ArrayList<>(routing);
+        for (Cluster cluster : clusters) {
+            resources.add(Resources.cluster(cluster.name()));
+            resources.add(endpoints(cluster, room));
+        }
+        return resources;
+    }
+
+    private Resource endpoints(Cluster cluster, String room) {
+        Map<String, List<Resources.Target>> byRoom = new TreeMap<>();
+        for (AppNode node : nodes.values()) {
+            if (cluster.holds(node.host())) {
+                byRoom.computeIfAbsent(node.host().zone(), any -> new ArrayList<>()).add(target(node));
+            }
+        }
+        Set<String> order = new LinkedHashSet<>();
+        if (byRoom.containsKey(room)) {
+            order.add(room);
+        }
+        order.addAll(byRoom.keySet());
+        List<Resources.Group> groups = new ArrayList<>();
+        for (String each : order) {
+            List<Resources.Target> targets = byRoom.get(each);
+            int weight = Math.max(1, targets.stream().filter(target -> !target.draining())
+                    .mapToInt(Resources.Target::weight).sum());
+            groups.add(new Resources.Group(each, each.equals(room) || !byRoom.containsKey(room) ? 0 : 1, weight, targets));
+        }
+        return Resources.endpoints(cluster.name(), cluster.leaseMs(), groups);
+    }
+
+    private Resources.Target target(AppNode node) {
+        double share = shares.getOrDefault(node.name(), 0.0);
+        boolean takesNew = share > 0 && node.host().state() == Admission.State.UP;
+        int colon = node.address().lastIndexOf(':');
+        return new Resources.Target(node.address().substring(0, colon),
+                Integer.parseInt(node.address().substring(colon + 1)),
+                takesNew ? Math.max(1, (int) (FULL * share * node.host().size())) : 1, !takesNew);
+    }
+
+    /**
+     * Takes in what the module says. A share that moved by less than a tenth stays as it was told, so that a ramp changes
+     * what proxies are told some twenty times, and noise in reports does not at all. A growing share is never ahead of
+     * what the module allows.
+     */
+    private void weigh() {
+        shares.keySet().retainAll(nodes.keySet());
+        for (Policy.Room each : module.rooms(now)) {
+            double share = each.share() >= ALL ? 1 : each.share();
+            double told = shares.getOrDefault(each.host(), 0.0);
+            boolean moved = Math.abs(share - told) > STEP * told || share == 1;
+            if (nodes.containsKey(each.host()) && moved) {
+                shares.put(each.host(), share);
+            }
+        }
+    }
+
+    /** All nodes that are believed to be there. */
+    public Set<String> nodes() {
+        return new HashSet<>(nodes.keySet());
+    }
+}
--- /dev/null
+++ b/control/src/test/java/opalcove/control/fleet/FleetTest.java
@@ -0,0 +1,166 @@
+package opalcove.control.fleet;
+
+import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertFalse;
+import static org.testng.Assert.assertSame;
+import static org.testng.Assert.assertTrue;
+
+import io.envoyproxy.envoy.config.core.v3.HealthStatus;
+import io.envoyproxy.envoy.config.endpoint.v3.ClusterLoadAssignment;
+import io.envoyproxy.envoy.config.endpoint.v3.LbEndpoint;
+import io.envoyproxy.envoy.config.endpoint.v3.LocalityLbEndpoints;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Set;
+import opalcove.control.xds.ResourceType;
+import opalcove.control.xds.View;
+import opalcove.decision.Admission;
+import opalcove.decision.Admission.State;
+import opalcove.gateway.AppNode;
+import opalcove.gateway.Fields;
+import opalcove.gateway.SettingsReader;
+import org.testng.annotations.BeforeMethod;
+import org.testng.annotations.Test;
+
+public class FleetTest {
+    /** Long after the start of the nodes that the lists begin with. */
+    private static final double START = 1_000_000;
+
+    private Fleet fleet;
+
+    @BeforeMethod
+    public void open() {
+        fleet = new Fleet(START, settings(), 1, 0.5, List.of(new Fleet.Cluster("all", Set.of(), Set.of(), 0),
+                new Fleet.Cluster("pod-1", Set.of(), Set.of(1), 0)), List.of());
+    }
+
+    static Admission.Settings settings() {
+        try {
+            return SettingsReader.checked(Fields.parse(Files.readString(Path.of("example/config.json")))
+                    .object("settings"));
+        } catch (java.io.IOException e) {
+            throw new IllegalStateException(e);
+        }
+    }
+
+    private static AppNode node(int number, String room, int pod, State state, double startedMs) {
+        return new AppNode(new Admission.Host("node-" + number, room, "std-3", pod, state, 1, startedMs),
+                "127.0.0.1:" + (7000 + number));
+    }
+
+    private static List<AppNode> four() {
+        return new ArrayList<>(List.of(node(1, "room-a", 1, State.UP, 1000), node(2, "room-a", 2, State.UP, 1000),
+                node(3, "room-b", 1, State.UP, 1000), node(4, "room-b", 2, State.UP, 1000)));
+    }
+
+    /** A line a room: {@code room p PRIORITY: port*weight ...}, with ~ for one that takes nothing new. */
+    private static String seen(View view, String cluster) throws Exception {
+        ClusterLoadAssignment all = view.get(ResourceType.ENDPOINTS, cluster).body().unpack(ClusterLoadAssignment.class);
+        StringBuilder text = new StringBuilder();
+        for (LocalityLbEndpoints room : all.getEndpointsList()) {
+            text.append(room.getLocality().getZone()).append(" p").append(room.getPriority()).append(':');
+            for (LbEndpoint each : room.getLbEndpointsList()) {
+                text.append(' ').append(each.getEndpoint().getAddress().getSocketAddress().getPortValue());
+                text.append(each.getHealthStatus() == HealthStatus.DRAINING ? "~"
+                        : "*" + each.getLoadBalancingWeight().getValue());
+            }
+            text.append('\n');
+        }
+        return text.toString().strip();
+    }
+
+    @Test
+    public void aProxyUsesItsOwnRoomFirst() throws Exception {
+        fleet.told(START, true, false, four());
+        assertEquals(seen(fleet.view("room-a"), "all"), "room-a p0: 7001*100 7002*100\nroom-b p1: 7003*100 7004*100");
+        assertEquals(seen(fleet.view("room-b"), "all"), "room-b p0: 7003*100 7004*100\nroom-a p1: 7001*100 7002*100");
+        assertEquals(seen(fleet.view("room-z"), "all"), "room-a p0: 7001*100 7002*100\nroom-b p0: 7003*100 7004*100");
+        assertEquals(seen(fleet.view("room-a"), "pod-1"), "room-a p0: 7001*100\nroom-b p1: 7003*100");
+    }
+
+    @Test
+    public void aDrainingNodeTakesNothingNewAtOnceAndOnlyWhatChangedIsTold() throws Exception {
+        fleet.told(START, true, false, four());
+        View before = fleet.view("room-a");
+        fleet.told(START + 10, false, false, List.of(node(2, "room-a", 2, State.DRAINING, 1000)));
+        View after = fleet.view("room-a");
+        assertEquals(seen(after, "all"), "room-a p0: 7001*100 7002~\nroom-b p1: 7003*100 7004*100");
+        assertSame(after.get(ResourceType.ENDPOINTS, "pod-1"), before.get(ResourceType.ENDPOINTS, "pod-1"));
+        fleet.told(START + 20, false, false, List.of(node(2, "room-a", 2, State.UP, 1000)));
+        assertEquals(fleet.view("room-a").get(ResourceType.ENDPOINTS, "all").version(),
+                before.get(ResourceType.ENDPOINTS, "all").version(), "a drain called off is the state before it");
+    }
+
+    /** What the cold start rule lets a node take, against what its weight brings it beside three warm ones. */
+    @Test
+    public void aStartingNodeGetsLessThanTheRuleAtEachMoment() throws Exception {
+        List<AppNode> list = four();
+        fleet.told(START, true, false, list);
+        list.add(node(5, "room-a", 1, State.UP, START + 100));
+        fleet.told(START + 100, true, false, list);
+        int last = 0;
+        int steps = 0;
+        for (double now = START + 100; now <= START + 20_000; now += 50) {
+            fleet.advance(now);
+            String line = seen(fleet.view("room-a"), "pod-1").lines().findFirst().orElseThrow();
+            int weight = Integer.parseInt(line.substring(line.indexOf("7005*") + 5));
+            double can = Math.min(1, 0.17 + 0.83 * (now - START - 100) / 18_000);
+            assertTrue(weight <= 100 * Math.min(1, can), "weight " + weight + " at " + (now - START));
+            assertTrue(weight >= last, "it only grows");
+            steps += weight > last ? 1 : 0;
+            last = weight;
+        }
+        assertEquals(last, 100);
+        assertTrue(steps < 30, steps + " changes are told");
+    }
+
+    @Test
+    public void aNodeStartedAnewAtItsAddressIsCold() throws Exception {
+        fleet.told(START, true, false, four());
+        fleet.told(START + 10, false, false, List.of(node(1, "room-a", 1, State.UP, START + 5)));
+        assertEquals(seen(fleet.view("room-a"), "pod-1"), "room-a p0: 7001*15\nroom-b p1: 7003*100");
+    }
+
+    @Test
+    public void aTornListDoesNotTakeNodesAwayButDrainsInItAreObeyed() throws Exception {
+        fleet.told(START, true, false, four());
+        fleet.told(START + 10, true, false, List.of());
+        assertEquals(fleet.nodes().size(), 4);
+        assertEquals(fleet.missing().size(), 4);
+        fleet.told(START + 20, true, false, List.of(node(2, "room-a", 2, State.DRAINING, 1000)));
+        assertEquals(seen(fleet.view("room-a"), "all"), "room-a p0: 7001*100 7002~\nroom-b p1: 7003*100 7004*100");
+        assertEquals(fleet.missing(), Set.of("node-1", "node-3", "node-4"));
+        fleet.told(START + 30, true, false, four());
+        assertEquals(fleet.missing(), Set.of());
+    }
+
+    @Test
+    public void theOperatorsMayOverrideTheGuardAndNamedRemovalsAreObeyed() throws Exception {
+        fleet.told(START, true, false, four());
+        fleet.told(START + 10, false, false, List.of(node(1, "room-a", 1, State.GONE, 1000),
+                node(2, "room-a", 2, State.GONE, 1000), node(3, "room-b", 1, State.GONE, 1000)));
+        assertEquals(fleet.nodes(), Set.of("node-4"));
+        fleet.told(START + 20, true, false, List.of());
+        assertEquals(fleet.nodes(), Set.of("node-4"), "the last one is never lost by a list that lacks it");
+        fleet.told(START + 30, true, true, List.of());
+        assertEquals(fleet.nodes(), Set.of());
+    }
+
+    @Test
+    public void errorsThatProxiesReportLowerAWeightAndFade() throws Exception {
+        fleet.told(START, true, false, four());
+        View before = fleet.view("room-a");
+        fleet.reported(START + 10, "node-1", 5, 45, 20);
+        assertTrue(fleet.advance(START + 250));
+        String line = seen(fleet.view("room-a"), "pod-1").lines().findFirst().orElseThrow();
+        assertTrue(Integer.parseInt(line.substring(line.indexOf("7001*") + 5)) < 20, line);
+        for (double now = START + 250; now < START + 60_000; now += 250) {
+            fleet.reported(now, "node-2", 20, 0, 20);
+            fleet.advance(now);
+        }
+        assertEquals(seen(fleet.view("room-a"), "all"), seen(before, "all"));
+        assertFalse(fleet.advance(START + 60_000), "nothing changes any more");
+    }
+}
--- a/decision/src/main/java/opalcove/decision/Policy.java
+++ b/decision/src/main/java/opalcove/decision/Policy.java
@@ -185,6 +185,29 @@
         if (kind == SLOW) slow(f);
     }
 
+    /** The part of a host's usual room that new work may take now, 0 (none) to 1. */
+    public record Room(String host, double share) { }
+
+    /** Where new work may go, for a front that hands choices on and does not ask for each request. */
+    public List<Room> rooms(double time) {
+        now = time;
+        return hosts.machines.values().stream().map(m -> new Room(m.host.id(), hosts.share(m))).toList();
+    }
+
+    /** What such a front was told of work that ended at a host; meanMs: below 0 where no time is known. */
+    public void reported(double time, String host, long served, long failed, double meanMs) {
+        now = time;
+        Machine m = hosts.machines.get(host);
+        if (m == null || served + failed <= 0) return;
+        m.heardAt = now;
+        hosts.sends += served + failed;
+        double part = 1 - Math.pow(0.8, served + failed);
+        m.errors += part * ((double) failed / (served + failed) - m.errors);
+        if (served <= 0 || meanMs < 0) return;
+        hosts.slower(m, meanMs / usual[0]);
+        usual[0] += 0.02 * (Math.min(meanMs, 5 * usual[0]) - usual[0]);
+    }
+
     /** Whether this part of the deadline is a first try's: the one most often seen, not the longest. */
     private boolean firstTry(double part) {
         int match = -1, most = 0, least = 0;
@@ -925,6 +948,14 @@
             }
         }
 
+        /** A starting host's part is bounded by its ramp, a warm one's sinks with errors and lateness. */
+        double share(Machine m) {
+            if (!m.listed || now < m.shunUntil) return 0;
+            double margin = Math.min(0.9, 0.45 * settings.duties().overloadFactor());
+            double ramp = cold(m) ? coldShare(m) * margin : 1;
+            return Math.max(0.02, ramp / (Math.max(1, m.slowness) * (1 + 20 * m.errors * m.errors)));
+        }
+
         private double coldShare(Machine m) {
             double from = settings.duties().coldShare();
             return from + (1 - from) * (now - m.coldSince) / Math.max(1, settings.duties().warmAfterMs());
