Serve as a control service: opalcove control, its settings, node list and status

Need: the streams and decisions for other proxies had no program, and nobody could see who has answered for a drain.

Found on the way and mended, each with a test: empty sets told before the first list, a proxy shown another line of views told nothing, answers that stand for earlier ones not counted as such.

--- a/cli/src/main/java/opalcove/cli/Opalcove.java
+++ b/cli/src/main/java/opalcove/cli/Opalcove.java
@@ -21,7 +21,7 @@
  */
 @Command(name = "opalcove", mixinStandardHelpOptions = true, versionProvider = Opalcove.Version.class,
         description = "Gateway of battery swap operators: which ask goes to which app node, when, and which is refused.",
-        subcommands = {Opalcove.ServeCommand.class, Opalcove.MqttCommand.class, PlanCommand.class, ApplyCommand.class, LoadCommand.class,
+        subcommands = {Opalcove.ServeCommand.class, Opalcove.MqttCommand.class, ControlCommand.class, PlanCommand.class, ApplyCommand.class, LoadCommand.class,
             MeterCommand.class, GuardCommand.class, PairCommand.class,
             Opalcove.AdapterCommand.class}, exitCodeListHeading = "%nExit codes:%n",
         exitCodeList = {"0:done", "1:the command failed; standard error says why", "2:wrong call"})
@@ -64,7 +64,7 @@
     }
 
     /** A command whose program goes on until SIGTERM. */
-    private interface Serves { }
+    interface Serves { }
 
     /** The version that the build put into the jar. */
     static final class Version implements CommandLine.IVersionProvider {
--- a/control/src/main/java/opalcove/control/fleet/Fleet.java
+++ b/control/src/main/java/opalcove/control/fleet/Fleet.java
@@ -29,6 +29,8 @@
 public final class Fleet {
     /** Weights are whole numbers; a warm node of size 1 has this one. */
     static final int FULL = 100;
+    /** How long a drain is told of after its node has left the list, ms. */
+    private static final double KEEP_DRAINS_MS = 60_000;
     /** A share that moved by less than this part of it is not told. */
     private static final double STEP = 0.1;
     /** From this share on it is all. */
@@ -56,6 +58,7 @@
     private final Map<String, Double> shares = new HashMap<>();
     private final Map<String, View> views = new TreeMap<>();
     private final Set<String> rooms = new TreeSet<>();
+    private final Map<String, Drain> drains = new LinkedHashMap<>();
     private final List<Resource> routing;
     private double now;
 
@@ -150,9 +153,32 @@
         return alarms.isEmpty() ? Double.POSITIVE_INFINITY : alarms.peek().at;
     }
 
+    /**
+     * A node that was told to take nothing new.
+     *
+     * @param sinceMs when it was told
+     * @param serials by room, the serial of the first view that says so; a room that is not there: 1
+     */
+    public record Drain(String node, double sinceMs, Map<String, Long> serials) {
+        /** The serial that a proxy of that room must have answered for. */
+        public long serial(String room) {
+            return serials.getOrDefault(room, 1L);
+        }
+    }
+
+    /** Drains under way, and those of nodes that left less than a minute ago. */
+    public List<Drain> drains() {
+        return List.copyOf(drains.values());
+    }
+
+    /** The name under which a proxy of that room has its view. */
+    public String viewOf(String room) {
+        return rooms.contains(room) ? room : "";
+    }
+
     /** What a proxy in that room sees. A room without nodes sees all others at one priority. */
     public View view(String room) {
-        return views.computeIfAbsent(rooms.contains(room) ? room : "", this::made);
+        return views.computeIfAbsent(viewOf(room), this::made);
     }
 
     /** Nodes that the last whole list lacked and that are kept nonetheless. */
@@ -167,15 +193,25 @@
         views.keySet().removeIf(room -> !room.isEmpty() && !rooms.contains(room));
         boolean changed = false;
         for (Map.Entry<String, View> each : views.entrySet()) {
-            View next = each.getValue().with(resources(each.getKey()), Map.of());
+            View next = nodes.isEmpty() && each.getValue() == View.EMPTY ? View.EMPTY : each.getValue().with(resources(each.getKey()), Map.of());
             changed |= next != each.getValue();
             each.setValue(next);
         }
+        noteDrains();
         return changed;
     }
 
+    private void noteDrains() {
+        Map<String, Long> serials = new HashMap<>();
+        views.forEach((room, view) -> serials.put(room, view.serial()));
+        drains.values().removeIf(drain -> nodes.containsKey(drain.node())
+                ? nodes.get(drain.node()).host().state() == Admission.State.UP : now - drain.sinceMs() > KEEP_DRAINS_MS);
+        nodes.values().stream().filter(node -> node.host().state() == Admission.State.DRAINING)
+                .forEach(node -> drains.computeIfAbsent(node.name(), name -> new Drain(name, now, serials)));
+    }
+
     private View made(String room) {
-        return View.EMPTY.with(resources(room), Map.of());
+        return nodes.isEmpty() ? View.EMPTY : View.EMPTY.with(resources(room), Map.of());
     }
 
     private List<Resource> resources(String room) {
--- /dev/null
+++ b/control/src/main/java/opalcove/control/server/ControlService.java
@@ -0,0 +1,154 @@
+package opalcove.control.server;
+
+import com.eclipsesource.json.Json;
+import com.eclipsesource.json.JsonArray;
+import com.eclipsesource.json.JsonObject;
+import com.sun.net.httpserver.HttpServer;
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.ExecutionException;
+import java.util.concurrent.ScheduledFuture;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.TimeoutException;
+import opalcove.control.fleet.Fleet;
+import opalcove.control.xds.Knowledge;
+import opalcove.control.xds.Resource;
+import opalcove.control.xds.ResourceType;
+import opalcove.control.xds.Resources;
+import opalcove.gateway.AppNode;
+import opalcove.gateway.Clock;
+import org.tinylog.Logger;
+
+/** The control service by its settings: node list in, proxies told, state on request. */
+public final class ControlService implements AutoCloseable {
+    private static final long STATUS_SECONDS = 5;
+
+    private final Desk desk = new Desk();
+    private final Clock clock = new Clock();
+    private final ControlSettings config;
+    private final Fleet fleet;
+    private final Sessions sessions;
+    private final ControlServer server;
+    private final HttpServer status;
+    private final NodeFile nodes;
+    private ScheduledFuture<?> alarm;
+    private String sourceProblem = "";
+
+    /** Opens the service; it fails where an address is taken. A node list that cannot be read yet is waited for. */
+    public ControlService(ControlSettings config) throws IOException {
+        this.config = config;
+        List<Resource> routing = new ArrayList<>();
+        for (ControlSettings.Listener each : config.listeners()) {
+            routing.add(Resources.apiListener(each.name(), each.name()));
+            routing.add(Resources.routes(each.name(), each.cluster()));
+        }
+        fleet = new Fleet(clock.now(), config.settings(), System.nanoTime(), config.mostShrink(), config.clusters(), routing);
+        sessions = new Sessions(desk, proxy -> config.admit().isEmpty() || config.admit().contains(proxy.cluster())
+                ? fleet.view(proxy.room()) : null);
+        server = new ControlServer(new InetSocketAddress(config.listen().address(), config.listen().port()), sessions);
+        status = HttpServer.create(new InetSocketAddress(config.status().address(), config.status().port()), 0);
+        status.createContext("/v1/status", exchange -> {
+            byte[] text = status().toString().getBytes(StandardCharsets.UTF_8);
+            exchange.getResponseHeaders().set("Content-Type", "application/json");
+            exchange.sendResponseHeaders(200, text.length);
+            exchange.getResponseBody().write(text);
+            exchange.close();
+        });
+        status.start();
+        nodes = new NodeFile(config.nodes(), (override, list) -> desk.execute(() -> told(override, list)),
+                problem -> desk.execute(() -> failed(problem)));
+        desk.execute(this::wake);
+        Logger.info("control service {} on port {}", config.name(), port());
+    }
+
+    public int port() {
+        return server.port();
+    }
+
+    public int statusPort() {
+        return status.getAddress().getPort();
+    }
+
+    private void told(boolean override, List<AppNode> list) {
+        sourceProblem = "";
+        fleet.told(clock.now(), true, override, list);
+        if (!fleet.missing().isEmpty()) {
+            Logger.warn("the node list lacks {} of {} nodes at once; they are kept until it has them again or says override",
+                    fleet.missing().size(), fleet.nodes().size());
+        }
+        sessions.changed();
+        wake();
+    }
+
+    private void failed(String problem) {
+        Logger.warn("the node list cannot be read, what is known stays: {}", problem);
+        sourceProblem = problem;
+        fleet.sourceFailed(clock.now());
+    }
+
+    /** The module's alarms that are due, and those to come. */
+    private void wake() {
+        if (fleet.advance(clock.now())) {
+            sessions.changed();
+        }
+        if (alarm != null) {
+            alarm.cancel(false);
+        }
+        alarm = desk.in(fleet.nextAlarm() - clock.now(), this::wake);
+    }
+
+    /** Its state, taken on the desk. */
+    public JsonObject status() throws IOException {
+        CompletableFuture<JsonObject> taken = new CompletableFuture<>();
+        desk.execute(() -> taken.complete(state()));
+        try {
+            return taken.get(STATUS_SECONDS, TimeUnit.SECONDS);
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+            throw new IOException(e);
+        } catch (ExecutionException | TimeoutException e) {
+            throw new IOException("no state was told in time", e);
+        }
+    }
+
+    private JsonObject state() {
+        JsonArray proxies = new JsonArray();
+        for (Sessions.Known each : sessions.known()) {
+            JsonObject types = new JsonObject();
+            each.types().forEach((type, knows) -> types.add(type.name().toLowerCase(java.util.Locale.ROOT), Json.object()
+                    .add("behind", fleet.view(each.proxy().room()).serial() - knows.acknowledged())
+                    .add("waiting_ms", Math.round(knows.waitingMs())).add("taken", knows.taken())
+                    .add("refused", knows.refused()).add("reason", knows.reason())));
+            proxies.add(Json.object().add("id", each.proxy().id()).add("cluster", each.proxy().cluster())
+                    .add("room", each.proxy().room()).add("types", types));
+        }
+        JsonArray drains = new JsonArray();
+        for (Fleet.Drain drain : fleet.drains()) {
+            JsonArray waiting = new JsonArray();
+            sessions.known().stream().filter(each -> !knows(each, drain)).forEach(each -> waiting.add(each.proxy().id()));
+            drains.add(Json.object().add("node", drain.node()).add("since_ms", Math.round(clock.now() - drain.sinceMs()))
+                    .add("not_acknowledged_by", waiting));
+        }
+        JsonArray missing = new JsonArray();
+        fleet.missing().stream().sorted().forEach(missing::add);
+        return Json.object().add("name", config.name()).add("nodes", fleet.nodes().size()).add("missing", missing)
+                .add("source_problem", sourceProblem).add("proxies", proxies).add("drains", drains);
+    }
+
+    private boolean knows(Sessions.Known proxy, Fleet.Drain drain) {
+        Knowledge knows = proxy.types().get(ResourceType.ENDPOINTS);
+        return knows == null || knows.acknowledged() >= drain.serial(fleet.viewOf(proxy.proxy().room()));
+    }
+
+    @Override
+    public void close() throws IOException {
+        nodes.close();
+        status.stop(0);
+        server.close();
+        desk.close();
+    }
+}
--- /dev/null
+++ b/control/src/main/java/opalcove/control/server/ControlSettings.java
@@ -0,0 +1,104 @@
+package opalcove.control.server;
+
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Set;
+import java.util.stream.Collectors;
+import java.util.stream.IntStream;
+import opalcove.control.fleet.Fleet;
+import opalcove.decision.Admission;
+import opalcove.gateway.BadSettings;
+import opalcove.gateway.Check;
+import opalcove.gateway.Endpoint;
+import opalcove.gateway.Fields;
+import opalcove.gateway.SettingsReader;
+
+/**
+ * The settings file of the control service, checked whole before anything opens.
+ *
+ * @param listen where proxies connect
+ * @param status where its state is told; a loopback address
+ * @param nodes the file with the node list, in discovery's form; relative to the settings file
+ * @param mostShrink share of the nodes that a whole list may lack at once, 0 to 1
+ * @param admit the clusters of proxies that are admitted; none: all are
+ * @param listeners what proxyless clients may ask for, each led to one cluster
+ */
+public record ControlSettings(String name, Endpoint listen, Endpoint status, Path nodes, double mostShrink,
+                              Set<String> admit, List<Fleet.Cluster> clusters, List<Listener> listeners,
+                              Admission.Settings settings) {
+    /** A listener of that name leads all to that cluster. */
+    public record Listener(String name, String cluster) { }
+
+    private static final Set<String> KEYS = Set.of("name", "listen", "status", "nodes", "most_shrink", "admit", "clusters",
+            "listeners", "settings");
+
+    /** Reads and checks the file; a wrong one is refused with every problem found, each by file, key and reason. */
+    public static ControlSettings read(Path file) {
+        Check check = new Check(file);
+        Fields fields = check.fields(KEYS);
+        String name = check.ask(() -> fields.textOr("name", "control"), "");
+        Endpoint listen = check.ask(() -> Endpoint.read(fields.text("listen"), "listen"), null);
+        Endpoint status = check.ask(() -> status(fields), null);
+        Path nodes = check.ask(() -> file.toAbsolutePath().resolveSibling(fields.text("nodes")), null);
+        double shrink = check.ask(() -> share(fields), 0.0);
+        Set<String> admit = check.ask(() -> Set.copyOf(fields.texts("admit")), Set.of());
+        List<Fleet.Cluster> clusters = check.ask(() -> clusters(fields), List.of());
+        List<Listener> listeners = check.ask(() -> listeners(fields, clusters), List.of());
+        Admission.Settings settings = check.ask(() -> SettingsReader.checked(fields.object("settings")), null);
+        check.end();
+        return new ControlSettings(name, listen, status, nodes, shrink, admit, clusters, listeners, settings);
+    }
+
+    private static Endpoint status(Fields fields) {
+        Endpoint status = Endpoint.read(fields.text("status"), "status");
+        if (!status.address().startsWith("127.")) {
+            throw new BadSettings("field status must be a loopback address, not " + status.address());
+        }
+        return status;
+    }
+
+    private static double share(Fields fields) {
+        double share = fields.numberOr("most_shrink", 0.5);
+        if (!(share >= 0 && share <= 1)) {
+            throw new BadSettings("field most_shrink must be from 0 to 1");
+        }
+        return share;
+    }
+
+    private static List<Fleet.Cluster> clusters(Fields fields) {
+        List<Fleet.Cluster> clusters = new ArrayList<>();
+        Set<String> names = new HashSet<>();
+        for (Fields each : fields.objects("clusters")) {
+            String name = each.text("name");
+            if (name.isEmpty() || !names.add(name)) {
+                throw new BadSettings("field " + each.path() + ".name is empty or there twice: " + name);
+            }
+            double[] pods = each.row("pods");
+            Set<Integer> numbers = pods == null ? Set.of()
+                    : IntStream.range(0, pods.length).mapToObj(i -> (int) pods[i]).collect(Collectors.toSet());
+            long lease = each.wholeOr("lease_ms", 0);
+            if (lease < 0 || lease > 0 && lease < 1000) {
+                throw new BadSettings("field " + each.path() + ".lease_ms must be 0 or at least 1000");
+            }
+            clusters.add(new Fleet.Cluster(name, Set.copyOf(each.texts("kinds")), numbers, lease));
+        }
+        if (clusters.isEmpty()) {
+            throw new BadSettings("field clusters names no cluster");
+        }
+        return clusters;
+    }
+
+    private static List<Listener> listeners(Fields fields, List<Fleet.Cluster> clusters) {
+        List<Listener> listeners = new ArrayList<>();
+        for (Fields each : fields.has("listeners") ? fields.objects("listeners") : List.<Fields>of()) {
+            Listener listener = new Listener(each.text("name"), each.text("cluster"));
+            if (clusters.stream().noneMatch(cluster -> cluster.name().equals(listener.cluster()))) {
+                throw new BadSettings("field " + each.path() + ".cluster is not among the clusters: " + listener.cluster());
+            }
+            listeners.add(listener);
+        }
+        return listeners;
+    }
+}
--- a/control/src/main/java/opalcove/control/server/Session.java
+++ b/control/src/main/java/opalcove/control/server/Session.java
@@ -83,6 +83,10 @@
             refuse(Status.PERMISSION_DENIED.withDescription("proxy " + proxy.id() + " is no longer admitted"));
             return;
         }
+        if (view == View.EMPTY) {
+            // Guards proxies against a service that knows nothing yet: an answer would take away what they have.
+            return;
+        }
         double now = sessions.desk().now();
         stream.due(view, now).forEach(out::onNext);
         lookAgain(now);
--- a/control/src/main/java/opalcove/control/server/Sessions.java
+++ b/control/src/main/java/opalcove/control/server/Sessions.java
@@ -12,10 +12,13 @@
 import io.grpc.MethodDescriptor;
 import io.grpc.ServerServiceDefinition;
 import io.grpc.stub.ServerCalls;
+import java.util.EnumMap;
 import java.util.LinkedHashSet;
 import java.util.List;
+import java.util.Map;
 import java.util.Set;
 import java.util.UUID;
+import opalcove.control.xds.Knowledge;
 import opalcove.control.xds.ResourceType;
 import opalcove.control.xds.View;
 
@@ -77,6 +80,22 @@
         }).count();
     }
 
+    /** A proxy on an open stream, and what it knows by type. */
+    public record Known(ProxyIdentity proxy, Map<ResourceType, Knowledge> types) { }
+
+    /** All proxies on open streams; one with several streams is there several times. */
+    public List<Known> known() {
+        return open.stream().map(each -> {
+            Map<ResourceType, Knowledge> types = new EnumMap<>(ResourceType.class);
+            for (ResourceType type : ResourceType.values()) {
+                if (each.knowledge(type) != null) {
+                    types.put(type, each.knowledge(type));
+                }
+            }
+            return new Known(each.proxy(), types);
+        }).toList();
+    }
+
     /** Why proxies refuse what they were told of a type, each reason once. */
     public Set<String> reasons(ResourceType type) {
         Set<String> reasons = new LinkedHashSet<>();
--- a/control/src/main/java/opalcove/control/xds/DeltaFeed.java
+++ b/control/src/main/java/opalcove/control/xds/DeltaFeed.java
@@ -14,6 +14,12 @@
         super(type, noncePrefix);
     }
 
+    /** Each response has an answer of its own (xDS protocol, "Incremental xDS"). */
+    @Override
+    boolean answersForEarlier() {
+        return false;
+    }
+
     @Override
     boolean whole() {
         return false;
@@ -22,7 +28,7 @@
     @Override
     void request(DeltaDiscoveryRequest request, double now) {
         if (!request.getResponseNonce().isEmpty()) {
-            answered(request.getResponseNonce(), request.hasErrorDetail() ? request.getErrorDetail() : null, now);
+            answered(request.getResponseNonce(), request.hasErrorDetail() ? request.getErrorDetail() : null);
         }
         boolean first = !opened;
         if (first) {
--- a/control/src/main/java/opalcove/control/xds/Feed.java
+++ b/control/src/main/java/opalcove/control/xds/Feed.java
@@ -6,7 +6,6 @@
 import java.util.Deque;
 import java.util.HashMap;
 import java.util.HashSet;
-import java.util.Iterator;
 import java.util.LinkedHashMap;
 import java.util.LinkedHashSet;
 import java.util.List;
@@ -51,6 +50,7 @@
     private long nonces;
     private boolean unanswered;
     private boolean bringsNew;
+    private Object line;
     private long toldSerial = -1;
     private long answeredSerial = -1;
     private long taken;
@@ -123,19 +123,19 @@
         return nonce.equals(noncePrefix + nonces);
     }
 
-    /** Takes in an answer to the response with that nonce. False where no such answer is owed. */
-    final boolean answered(String nonce, Status error, double now) {
-        Owed answered = null;
-        for (Iterator<Owed> it = owed.iterator(); it.hasNext() && answered == null;) {
-            Owed each = it.next();
-            if (each.nonce.equals(nonce)) {
-                answered = each;
-                it.remove();
-            }
-        }
+    /** Whether an answer stands for those owed before it, too. */
+    abstract boolean answersForEarlier();
+
+    /** Takes in an answer to the response with that nonce; nothing where no such answer is owed. */
+    final void answered(String nonce, Status error) {
+        Owed answered = owed.stream().filter(each -> each.nonce.equals(nonce)).findFirst().orElse(null);
         if (answered == null) {
-            return false;
+            return;
         }
+        while (answersForEarlier() && owed.peekFirst() != answered) {
+            owed.removeFirst();
+        }
+        owed.remove(answered);
         if (error == null) {
             taken++;
             reason = "";
@@ -147,7 +147,6 @@
             refused(answered);
         }
         answeredSerial = owed.isEmpty() ? toldSerial : Math.max(answeredSerial, owed.peekFirst().before);
-        return true;
     }
 
     private void refused(Owed answered) {
@@ -171,6 +170,11 @@
         if (!opened) {
             return null;
         }
+        if (view.line() != line) {
+            // Guards a proxy that is shown another line of views: that one's serials say nothing of what it was told.
+            line = view.line();
+            toldSerial = answeredSerial = -1;
+        }
         Set<String> news = news(view);
         if (news.isEmpty() && !unanswered) {
             upTo(view);
@@ -219,7 +223,7 @@
     private Set<String> news(View view) {
         Set<String> news = new LinkedHashSet<>();
         again.stream().filter(this::wants).forEach(news::add);
-        Set<String> touched = toldSerial < 0 ? null : view.touchedSince(type, toldSerial);
+        Set<String> touched = toldSerial < 0 || view.line() != line ? null : view.touchedSince(type, toldSerial);
         if (touched == null) {
             touched = new HashSet<>(told.keySet());
             touched.addAll(wildcard ? view.all(type).keySet() : names);
--- a/control/src/main/java/opalcove/control/xds/SotwFeed.java
+++ b/control/src/main/java/opalcove/control/xds/SotwFeed.java
@@ -29,6 +29,12 @@
         return type.whole() || !resources.isEmpty();
     }
 
+    /** Responses are worked off in order; a proxy that answers for the last alone would have refused an earlier one. */
+    @Override
+    boolean answersForEarlier() {
+        return true;
+    }
+
     @Override
     boolean whole() {
         return type.whole();
@@ -39,7 +45,7 @@
         String nonce = request.getResponseNonce();
         if (opened && !nonce.isEmpty()) {
             boolean last = isLast(nonce);
-            answered(nonce, request.hasErrorDetail() ? request.getErrorDetail() : null, now);
+            answered(nonce, request.hasErrorDetail() ? request.getErrorDetail() : null);
             if (!last) {
                 return;  // stale: a request for the latest response is on its way (xDS protocol, "ACK and resource updates")
             }
--- a/control/src/main/java/opalcove/control/xds/View.java
+++ b/control/src/main/java/opalcove/control/xds/View.java
@@ -18,7 +18,7 @@
     /** So many changes back it knows what they touched; a stream that is further behind compares all. */
     private static final int REMEMBERED = 128;
     /** The view before any change. */
-    public static final View EMPTY = new View(0, Map.of());
+    public static final View EMPTY = new View(null, 0, Map.of());
 
     /** A type's resources, and the names touched by its last changes, oldest first. */
     private record Kind(Map<String, Resource> all, List<Touched> recent, long since) {
@@ -27,10 +27,13 @@
 
     private record Touched(long serial, Set<String> names) { }
 
+    /** All views made of one another have the same; serials of others are not to be compared. */
+    private final Object line;
     private final long serial;
     private final Map<ResourceType, Kind> kinds;
 
-    private View(long serial, Map<ResourceType, Kind> kinds) {
+    private View(Object line, long serial, Map<ResourceType, Kind> kinds) {
+        this.line = line;
         this.serial = serial;
         this.kinds = kinds;
     }
@@ -40,6 +43,10 @@
         return serial;
     }
 
+    Object line() {
+        return line;
+    }
+
     /** The resource with that name, or null. */
     public Resource get(ResourceType type, String name) {
         return kind(type).all.get(name);
@@ -108,7 +115,7 @@
             recent.add(new Touched(serial + 1, Collections.unmodifiableSet(touched.get(type))));
             next.put(type, new Kind(Collections.unmodifiableMap(all), List.copyOf(recent), since));
         });
-        return new View(serial + 1, next);
+        return new View(line == null ? new Object() : line, serial + 1, next);
     }
 
     /** This view with what an earlier one has of a type beside; this one where there is nothing to keep. */
@@ -122,6 +129,6 @@
         Map<ResourceType, Kind> next = new EnumMap<>(ResourceType.class);
         next.putAll(kinds);
         next.put(type, new Kind(Collections.unmodifiableMap(all), now.recent, now.since));
-        return new View(serial, next);
+        return new View(line, serial, next);
     }
 }
--- a/control/src/test/java/opalcove/control/fleet/FleetTest.java
+++ b/control/src/test/java/opalcove/control/fleet/FleetTest.java
@@ -71,6 +71,15 @@
         return text.toString().strip();
     }
 
+    @Test
+    public void aServiceThatKnowsNothingYetSaysNothing() {
+        assertSame(fleet.view("room-a"), View.EMPTY);
+        fleet.told(START, true, false, List.of());
+        assertSame(fleet.view("room-a"), View.EMPTY, "an empty first list is no list");
+        fleet.told(START + 10, true, false, four());
+        assertTrue(fleet.view("room-a").serial() > 0);
+    }
+
     @Test
     public void aProxyUsesItsOwnRoomFirst() throws Exception {
         fleet.told(START, true, false, four());
--- /dev/null
+++ b/control/src/test/java/opalcove/control/server/ControlServiceTest.java
@@ -0,0 +1,216 @@
+package opalcove.control.server;
+
+import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertThrows;
+import static org.testng.Assert.assertTrue;
+
+import com.eclipsesource.json.Json;
+import com.eclipsesource.json.JsonObject;
+import com.eclipsesource.json.JsonValue;
+import io.envoyproxy.envoy.config.core.v3.HealthStatus;
+import io.envoyproxy.envoy.config.core.v3.Locality;
+import io.envoyproxy.envoy.config.core.v3.Node;
+import io.envoyproxy.envoy.config.endpoint.v3.ClusterLoadAssignment;
+import io.envoyproxy.envoy.service.discovery.v3.AggregatedDiscoveryServiceGrpc;
+import io.envoyproxy.envoy.service.discovery.v3.DiscoveryRequest;
+import io.envoyproxy.envoy.service.discovery.v3.DiscoveryResponse;
+import io.grpc.Grpc;
+import io.grpc.InsecureChannelCredentials;
+import io.grpc.ManagedChannel;
+import io.grpc.Status;
+import io.grpc.StatusRuntimeException;
+import io.grpc.stub.StreamObserver;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.nio.file.StandardCopyOption;
+import java.util.Map;
+import java.util.TreeMap;
+import java.util.concurrent.BlockingQueue;
+import java.util.concurrent.LinkedBlockingQueue;
+import java.util.concurrent.TimeUnit;
+import opalcove.control.xds.ResourceType;
+import opalcove.gateway.BadSettings;
+import org.testng.annotations.AfterMethod;
+import org.testng.annotations.BeforeMethod;
+import org.testng.annotations.Test;
+
+/** The service as it is started, with a proxy that answers when it is told to. */
+public class ControlServiceTest {
+    private static final String TYPE = ResourceType.ENDPOINTS.url();
+
+    private Path folder;
+    private ControlService service;
+    private ManagedChannel channel;
+
+    @BeforeMethod
+    public void open() throws Exception {
+        folder = Files.createTempDirectory("control");
+        JsonObject settings = Json.parse(Files.readString(Path.of("deploy/control.json"))).asObject();
+        settings.set("listen", "127.0.0.1:0").set("status", "127.0.0.1:0").set("admit", Json.array("door"));
+        Files.writeString(folder.resolve("control.json"), settings.toString());
+        list("up", "up", "up");
+        service = new ControlService(ControlSettings.read(folder.resolve("control.json")));
+        channel = Grpc.newChannelBuilder("127.0.0.1:" + service.port(), InsecureChannelCredentials.create()).build();
+    }
+
+    @AfterMethod
+    public void close() throws Exception {
+        channel.shutdownNow().awaitTermination(5, TimeUnit.SECONDS);
+        service.close();
+        try (var files = Files.list(folder)) {
+            for (Path each : files.toList()) {
+                Files.delete(each);
+            }
+        }
+        Files.delete(folder);
+    }
+
+    /** Replaces the node list at one stroke. */
+    private void list(String... states) throws Exception {
+        StringBuilder lines = new StringBuilder();
+        for (int i = 0; i < states.length; i++) {
+            lines.append(i == 0 ? "" : ",").append("{\"name\":\"app-").append(i + 1).append("\",\"address\":\"127.0.0.1:720")
+                    .append(i + 1).append("\",\"zone\":\"room-a\",\"status\":\"").append(states[i]).append("\"}");
+        }
+        write("{\"index\":1,\"snapshot\":true,\"endpoints\":[" + lines + "]}");
+    }
+
+    private void write(String text) throws Exception {
+        Files.writeString(folder.resolve("next"), text);
+        Files.move(folder.resolve("next"), folder.resolve("control-nodes.json"), StandardCopyOption.ATOMIC_MOVE);
+    }
+
+    /** A proxy that asks for the endpoints of swaps; what it is told and how its stream ends is queued. */
+    private final class Proxy implements StreamObserver<DiscoveryResponse> {
+        final BlockingQueue<Object> told = new LinkedBlockingQueue<>();
+        final StreamObserver<DiscoveryRequest> out = AggregatedDiscoveryServiceGrpc.newStub(channel)
+                .streamAggregatedResources(this);
+
+        Proxy(String id, String cluster) {
+            out.onNext(DiscoveryRequest.newBuilder().setTypeUrl(TYPE).addResourceNames("swaps").setNode(Node.newBuilder()
+                    .setId(id).setCluster(cluster).setLocality(Locality.newBuilder().setZone("room-a"))).build());
+        }
+
+        /** The next state of the endpoints: {@code port: up or draining}. */
+        String next() throws Exception {
+            ClusterLoadAssignment all = response().getResources(0).unpack(ClusterLoadAssignment.class);
+            Map<Integer, String> nodes = new TreeMap<>();
+            all.getEndpointsList().forEach(room -> room.getLbEndpointsList().forEach(each -> nodes.put(
+                    each.getEndpoint().getAddress().getSocketAddress().getPortValue(),
+                    each.getHealthStatus() == HealthStatus.DRAINING ? "draining" : "up")));
+            return nodes.toString();
+        }
+
+        private String nonce;
+
+        private DiscoveryResponse response() throws Exception {
+            DiscoveryResponse response = (DiscoveryResponse) told.poll(20, TimeUnit.SECONDS);
+            nonce = response.getNonce();
+            return response;
+        }
+
+        void acknowledge() {
+            out.onNext(DiscoveryRequest.newBuilder().setTypeUrl(TYPE).addResourceNames("swaps").setResponseNonce(nonce)
+                    .build());
+        }
+
+        @Override
+        public void onNext(DiscoveryResponse response) {
+            told.add(response);
+        }
+
+        @Override
+        public void onError(Throwable cause) {
+            told.add(cause);
+        }
+
+        @Override
+        public void onCompleted() {
+            told.add("completed");
+        }
+    }
+
+    /** The state once it holds that. */
+    private JsonObject statusOnce(java.util.function.Predicate<JsonObject> holds) throws Exception {
+        long until = System.nanoTime() + TimeUnit.SECONDS.toNanos(20);
+        JsonObject status = service.status();
+        while (!holds.test(status)) {
+            assertTrue(System.nanoTime() < until, status.toString());
+            status = service.status();
+        }
+        return status;
+    }
+
+    private static String waiting(JsonObject status) {
+        StringBuilder text = new StringBuilder();
+        for (JsonValue each : status.get("drains").asArray()) {
+            text.append(each.asObject().getString("node", "")).append(each.asObject().get("not_acknowledged_by"));
+        }
+        return text.toString();
+    }
+
+    @Test
+    public void aDrainIsToldAtOnceAndItsStatusSaysWhoHasNotAnswered() throws Exception {
+        Proxy one = new Proxy("proxy-1", "door");
+        Proxy late = new Proxy("proxy-2", "door");
+        assertEquals(one.next(), "{7201=up, 7202=up, 7203=up}");
+        assertEquals(late.next(), "{7201=up, 7202=up, 7203=up}");
+        one.acknowledge();
+        list("up", "draining", "up");
+        assertEquals(one.next(), "{7201=up, 7202=draining, 7203=up}");
+        assertEquals(late.next(), "{7201=up, 7202=draining, 7203=up}", "though it never answered for the first response");
+        one.acknowledge();
+        assertEquals(waiting(statusOnce(status -> waiting(status).equals("app-2[\"proxy-2\"]"))), "app-2[\"proxy-2\"]");
+        late.acknowledge();
+        assertEquals(waiting(statusOnce(status -> waiting(status).equals("app-2[]"))), "app-2[]");
+        list("up", "up", "up");
+        assertEquals(one.next(), "{7201=up, 7202=up, 7203=up}", "called off");
+        assertEquals(waiting(service.status()), "");
+    }
+
+    @Test
+    public void anEmptyOrTornListTakesNothingAway() throws Exception {
+        Proxy proxy = new Proxy("proxy-1", "door");
+        assertEquals(proxy.next(), "{7201=up, 7202=up, 7203=up}");
+        write("{\"index\":1,\"snapshot\":true,\"endpo");
+        String problem = statusOnce(status -> !status.getString("source_problem", "").isEmpty())
+                .getString("source_problem", "");
+        assertTrue(problem.contains("control-nodes.json: malformed JSON"), problem);
+        write("{\"index\":2,\"snapshot\":true,\"endpoints\":[]}");
+        assertEquals(statusOnce(status -> status.get("missing").asArray().size() == 3).getInt("nodes", 0), 3);
+        list("up", "up", "draining");
+        assertEquals(proxy.next(), "{7201=up, 7202=up, 7203=draining}", "nothing was told in between");
+        write("{\"index\":3,\"snapshot\":true,\"override\":true,\"endpoints\":[{\"name\":\"app-1\",\"address\":\"127.0.0.1:7201\"}]}");
+        assertEquals(proxy.next(), "{7201=up}");
+    }
+
+    @Test
+    public void aProxyOfAnotherClusterIsRefusedWithTheReason() throws Exception {
+        Proxy stranger = new Proxy("proxy-9", "kitchen");
+        Object end = stranger.told.poll(20, TimeUnit.SECONDS);
+        assertEquals(((StatusRuntimeException) end).getStatus().getCode(), Status.Code.PERMISSION_DENIED);
+        assertEquals(((StatusRuntimeException) end).getStatus().getDescription(), "proxy proxy-9 is not admitted");
+        assertEquals(service.status().get("proxies").asArray().size(), 0);
+    }
+
+    @Test
+    public void allProblemsOfASettingsFileAreToldAtOnce() throws Exception {
+        Path file = folder.resolve("bad.json");
+        Files.writeString(file, "{\"listen\":\"nowhere\",\"status\":\"10.0.0.1:1\",\"most_shrink\":2,\"nodes\":\"n\","
+                + "\"clusters\":[{\"name\":\"a\"},{\"name\":\"a\"}],\"lisetners\":[],\"settings\":{}}");
+        BadSettings bad = null;
+        try {
+            ControlSettings.read(file);
+        } catch (BadSettings e) {
+            bad = e;
+        }
+        assertEquals(bad.getMessage().replace(file.toString(), "FILE"), """
+                FILE: field lisetners is not known here
+                FILE: field listen must be an address and a port, not nowhere
+                FILE: field status must be a loopback address, not 10.0.0.1
+                FILE: field most_shrink must be from 0 to 1
+                FILE: field clusters[1].name is empty or there twice: a
+                FILE: field settings.profiles is missing""");
+        assertThrows(BadSettings.class, () -> ControlSettings.read(folder.resolve("none.json")));
+    }
+}
--- a/control/src/test/java/opalcove/control/xds/SotwTest.java
+++ b/control/src/test/java/opalcove/control/xds/SotwTest.java
@@ -156,6 +156,29 @@
         assertEquals(other.responses.get(2).getVersionInfo(), version);
     }
 
+    @Test
+    public void aProxyThatIsShownAnotherLineOfViewsIsToldWhatDiffers() {
+        Proxy proxy = new Proxy().set(ENDPOINTS, 1, "a", "b").set(ENDPOINTS, 2, "a").set(ENDPOINTS, 3, "a");
+        proxy.ask(ENDPOINTS, "", "a", "b");
+        assertEquals(proxy.told(), "ENDPOINTS n1: a b");
+        proxy.view = View.EMPTY;
+        proxy.set(ENDPOINTS, 1, "a", "b");
+        assertEquals(proxy.told(), "ENDPOINTS n2: a", "its serial is lower than what was told");
+        proxy.ask(ENDPOINTS, "n2", "a", "b");
+        assertEquals(proxy.sotw.knowledge(ENDPOINTS, 0).acknowledged(), 1L);
+    }
+
+    @Test
+    public void anAnswerStandsForEarlierOnes() {
+        Proxy proxy = new Proxy().set(ENDPOINTS, 1, "a");
+        proxy.ask(ENDPOINTS, "", "a");
+        proxy.told();
+        proxy.set(ENDPOINTS, 2, "a").told();
+        proxy.ask(ENDPOINTS, "n2", "a");
+        assertEquals(proxy.sotw.knowledge(ENDPOINTS, 0).acknowledged(), 2L);
+        assertEquals(proxy.sotw.knowledge(ENDPOINTS, 9).waitingMs(), 0.0);
+    }
+
     @Test
     public void newsDoNotWaitForAnAnswerAndManyChangesAreOne() {
         Proxy proxy = new Proxy().set(ENDPOINTS, 1, "a");
--- /dev/null
+++ b/gateway/src/main/java/opalcove/gateway/Check.java
@@ -0,0 +1,55 @@
+package opalcove.gateway;
+
+import java.io.IOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Set;
+import java.util.function.Supplier;
+
+/** Gathers the problems of a settings file, so that one start tells them all, each by file, key and reason. */
+public final class Check {
+    private final Path file;
+    private final List<String> problems = new ArrayList<>();
+
+    public Check(Path file) {
+        this.file = file;
+    }
+
+    /** The file's fields, of which only these keys are known. Fails at once where it cannot be read. */
+    public Fields fields(Set<String> keys) {
+        Fields fields;
+        try {
+            fields = Fields.parse(Files.readString(file));
+        } catch (IOException e) {
+            throw new BadSettings(file + ": cannot be read: " + e.getMessage());
+        } catch (BadSettings e) {
+            throw new BadSettings(file + ": " + e.getMessage());
+        }
+        fields.names().stream().filter(key -> !keys.contains(key))
+                .forEach(key -> problem("field " + key + " is not known here"));
+        return fields;
+    }
+
+    /** The value, or the other one where it has a problem. */
+    public <T> T ask(Supplier<T> value, T otherwise) {
+        try {
+            return value.get();
+        } catch (BadSettings e) {
+            problem(e.getMessage());
+            return otherwise;
+        }
+    }
+
+    public void problem(String problem) {
+        problems.add(file + ": " + problem);
+    }
+
+    /** Fails with all problems that were found. */
+    public void end() {
+        if (!problems.isEmpty()) {
+            throw new BadSettings(String.join("\n", problems));
+        }
+    }
+}
--- a/mqtt/src/main/java/opalcove/mqtt/MqttSettings.java
+++ b/mqtt/src/main/java/opalcove/mqtt/MqttSettings.java
@@ -1,16 +1,13 @@
 package opalcove.mqtt;
 
-import java.io.IOException;
-import java.nio.file.Files;
 import java.nio.file.Path;
-import java.util.ArrayList;
 import java.util.HashSet;
 import java.util.List;
 import java.util.Set;
-import java.util.function.Supplier;
 import opalcove.decision.Admission;
 import opalcove.gateway.AppNode;
 import opalcove.gateway.BadSettings;
+import opalcove.gateway.Check;
 import opalcove.gateway.Endpoint;
 import opalcove.gateway.Fields;
 import opalcove.gateway.NodeLines;
@@ -24,20 +21,8 @@
 
     /** Reads and checks the file; a wrong one is refused with every problem found, each by file, key and reason. */
     public static MqttSettings read(Path file) {
-        Fields fields;
-        try {
-            fields = Fields.parse(Files.readString(file));
-        } catch (IOException e) {
-            throw new BadSettings(file + ": cannot be read: " + e.getMessage());
-        } catch (BadSettings e) {
-            throw new BadSettings(file + ": " + e.getMessage());
-        }
         Check check = new Check(file);
-        for (String key : fields.names()) {
-            if (!KEYS.contains(key)) {
-                check.problem("field " + key + " is not known here");
-            }
-        }
+        Fields fields = check.fields(KEYS);
         String name = check.ask(() -> fields.textOr("name", "opalcove"), "");
         Endpoint listen = check.ask(() -> Endpoint.read(fields.text("listen"), "listen"), null);
         Endpoint control = check.ask(() -> control(fields), null);
@@ -49,35 +34,6 @@
         return new MqttSettings(name, listen, control, terminals, links, nodes, settings);
     }
 
-    /** Gathers the problems, so that one start tells them all. */
-    private static final class Check {
-        private final Path file;
-        private final List<String> problems = new ArrayList<>();
-
-        Check(Path file) {
-            this.file = file;
-        }
-
-        <T> T ask(Supplier<T> value, T otherwise) {
-            try {
-                return value.get();
-            } catch (BadSettings e) {
-                problem(e.getMessage());
-                return otherwise;
-            }
-        }
-
-        void problem(String problem) {
-            problems.add(file + ": " + problem);
-        }
-
-        void end() {
-            if (!problems.isEmpty()) {
-                throw new BadSettings(String.join("\n", problems));
-            }
-        }
-    }
-
     /** Where plans are taken; it asks for no credentials, so it may be reached from this machine alone. */
     private static Endpoint control(Fields fields) {
         if (!fields.has("control")) {
