Take load reports in, and tell who still uses a draining node

Need: an acknowledged drain is a promise; only the proxies' own load reports show that nobody sends there any more.

AroundHandler is its own context now, which PatientTransport and Lockstep both had for themselves.

--- a/cli/src/main/java/opalcove/cli/ControlCommand.java
+++ b/cli/src/main/java/opalcove/cli/ControlCommand.java
@@ -96,6 +96,14 @@
                 text.append("drain of ").append(drain.getString("node", "")).append(" for ")
                         .append(drain.getLong("since_ms", 0)).append(" ms, not acknowledged by ")
                         .append(drain.get("not_acknowledged_by")).append('\n');
+                for (JsonValue one : drain.get("used_by").asArray()) {
+                    JsonObject use = one.asObject();
+                    long last = use.getLong("last_new_ms", -1);
+                    text.append("  ").append(use.getString("proxy", "")).append(" has ")
+                            .append(use.getLong("in_hand", 0)).append(" in hand, ")
+                            .append(last < 0 ? "nothing new" : "last told of new work " + last + " ms after the drain")
+                            .append('\n');
+                }
             }
             return text.toString();
         }
--- a/control/src/main/java/opalcove/control/fleet/Fleet.java
+++ b/control/src/main/java/opalcove/control/fleet/Fleet.java
@@ -29,8 +29,6 @@
 public final class Fleet {
     /** Weights are whole numbers; a warm node of size 1 has this one. */
     static final int FULL = 100;
-    /** How long a drain is told of after its node has left the list, ms. */
-    private static final double KEEP_DRAINS_MS = 60_000;
     /** A share that moved by less than this part of it is not told. */
     private static final double STEP = 0.1;
     /** From this share on it is all. */
@@ -58,7 +56,8 @@
     private final Map<String, Double> shares = new HashMap<>();
     private final Map<String, View> views = new TreeMap<>();
     private final Set<String> rooms = new TreeSet<>();
-    private final Map<String, Drain> drains = new LinkedHashMap<>();
+    private final Drains drains = new Drains();
+    private final Map<String, String> byAddress = new HashMap<>();
     private final List<Resource> routing;
     private double now;
 
@@ -120,7 +119,11 @@
         now = Math.max(now, time);
         List<AppNode> believed = guard.told(whole, override, lines);
         nodes.clear();
-        believed.forEach(node -> nodes.put(node.name(), node));
+        byAddress.clear();
+        believed.forEach(node -> {
+            nodes.put(node.name(), node);
+            byAddress.put(node.address(), node.name());
+        });
         module.hosts(now, true, believed.stream().map(AppNode::host).toList());
         look();
     }
@@ -131,10 +134,18 @@
         module.hostsFailed(now);
     }
 
-    /** Takes in what proxies report of a node: ended work, and its mean time, ms (below 0: not known). */
-    public void reported(double time, String node, long served, long failed, double meanMs) {
+    /**
+     * Takes in what a proxy reports of the node at an address since its last report: work it sent, work that was served
+     * and failed, and what it has in hand there. Where no node of the list has that address, nothing.
+     */
+    public void reported(double time, String proxy, String address, long issued, long served, long failed,
+                         long inProgress) {
         now = Math.max(now, time);
-        module.reported(now, node, served, failed, meanMs);
+        String node = byAddress.get(address);
+        if (node != null) {
+            module.reported(now, node, served, failed, -1);
+            drains.used(now, proxy, node, issued, inProgress);
+        }
     }
 
     /** Lets the module's alarms due by now go off, and looks at the views anew. True where a view has changed. */
@@ -153,22 +164,9 @@
         return alarms.isEmpty() ? Double.POSITIVE_INFINITY : alarms.peek().at;
     }
 
-    /**
-     * A node that was told to take nothing new.
-     *
-     * @param sinceMs when it was told
-     * @param serials by room, the serial of the first view that says so; a room that is not there: 1
-     */
-    public record Drain(String node, double sinceMs, Map<String, Long> serials) {
-        /** The serial that a proxy of that room must have answered for. */
-        public long serial(String room) {
-            return serials.getOrDefault(room, 1L);
-        }
-    }
-
-    /** Drains under way, and those of nodes that left less than a minute ago. */
-    public List<Drain> drains() {
-        return List.copyOf(drains.values());
+    /** Drains under way. */
+    public List<Drains.Drain> drains() {
+        return drains.all();
     }
 
     /** The name under which a proxy of that room has its view. */
@@ -197,17 +195,10 @@
             changed |= next != each.getValue();
             each.setValue(next);
         }
-        noteDrains();
-        return changed;
-    }
-
-    private void noteDrains() {
         Map<String, Long> serials = new HashMap<>();
         views.forEach((room, view) -> serials.put(room, view.serial()));
-        drains.values().removeIf(drain -> nodes.containsKey(drain.node())
-                ? nodes.get(drain.node()).host().state() == Admission.State.UP : now - drain.sinceMs() > KEEP_DRAINS_MS);
-        nodes.values().stream().filter(node -> node.host().state() == Admission.State.DRAINING)
-                .forEach(node -> drains.computeIfAbsent(node.name(), name -> new Drain(name, now, serials)));
+        drains.look(now, nodes, serials);
+        return changed;
     }
 
     private View made(String room) {
--- a/control/src/main/java/opalcove/control/server/ControlServer.java
+++ b/control/src/main/java/opalcove/control/server/ControlServer.java
@@ -1,5 +1,6 @@
 package opalcove.control.server;
 
+import io.grpc.BindableService;
 import io.grpc.Server;
 import io.grpc.netty.shaded.io.grpc.netty.NettyServerBuilder;
 import java.io.IOException;
@@ -18,8 +19,8 @@
 
     private final Server server;
 
-    /** Opens the server. */
-    public ControlServer(InetSocketAddress at, Sessions sessions) throws IOException {
+    /** Opens the server, with other services beside. */
+    public ControlServer(InetSocketAddress at, Sessions sessions, BindableService... others) throws IOException {
         NettyServerBuilder builder = NettyServerBuilder.forAddress(at).maxInboundMessageSize(MOST_REQUEST)
                 .maxConcurrentCallsPerConnection(MOST_STREAMS)
                 .keepAliveTime(KEEPALIVE_SECONDS, TimeUnit.SECONDS)
@@ -27,6 +28,9 @@
                 .permitKeepAliveTime(KEEPALIVE_SECONDS, TimeUnit.SECONDS).permitKeepAliveWithoutCalls(true)
                 .directExecutor();  // what arrives is handed to the desk at once
         sessions.services().forEach(builder::addService);
+        for (BindableService each : others) {
+            builder.addService(each);
+        }
         server = builder.build().start();
     }
 
--- a/control/src/main/java/opalcove/control/server/ControlService.java
+++ b/control/src/main/java/opalcove/control/server/ControlService.java
@@ -14,6 +14,7 @@
 import java.util.concurrent.ScheduledFuture;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.TimeoutException;
+import opalcove.control.fleet.Drains;
 import opalcove.control.fleet.Fleet;
 import opalcove.control.xds.Knowledge;
 import opalcove.control.xds.Resource;
@@ -49,7 +50,10 @@
         fleet = new Fleet(clock.now(), config.settings(), System.nanoTime(), config.mostShrink(), config.clusters(), routing);
         sessions = new Sessions(desk, proxy -> config.admit().isEmpty() || config.admit().contains(proxy.cluster())
                 ? fleet.view(proxy.room()) : null);
-        server = new ControlServer(new InetSocketAddress(config.listen().address(), config.listen().port()), sessions);
+        server = new ControlServer(new InetSocketAddress(config.listen().address(), config.listen().port()), sessions,
+                new LoadReports(desk, sessions.views(), config.clusters().stream().map(Fleet.Cluster::name).toList(),
+                        (proxy, address, issued, served, failed, inProgress) -> fleet.reported(clock.now(), proxy.id(),
+                                address, issued, served, failed, inProgress)));
         status = HttpServer.create(new InetSocketAddress(config.status().address(), config.status().port()), 0);
         status.createContext("/v1/status", exchange -> {
             byte[] text = status().toString().getBytes(StandardCharsets.UTF_8);
@@ -127,11 +131,11 @@
                     .add("room", each.proxy().room()).add("types", types));
         }
         JsonArray drains = new JsonArray();
-        for (Fleet.Drain drain : fleet.drains()) {
+        for (Drains.Drain drain : fleet.drains()) {
             JsonArray waiting = new JsonArray();
             sessions.known().stream().filter(each -> !knows(each, drain)).forEach(each -> waiting.add(each.proxy().id()));
             drains.add(Json.object().add("node", drain.node()).add("since_ms", Math.round(clock.now() - drain.sinceMs()))
-                    .add("not_acknowledged_by", waiting));
+                    .add("not_acknowledged_by", waiting).add("used_by", users(drain)));
         }
         JsonArray missing = new JsonArray();
         fleet.missing().stream().sorted().forEach(missing::add);
@@ -139,7 +143,20 @@
                 .add("source_problem", sourceProblem).add("proxies", proxies).add("drains", drains);
     }
 
-    private boolean knows(Sessions.Known proxy, Fleet.Drain drain) {
+    /** Who told of new work at a draining node since its drain, when that was last, and what is in hand there. */
+    private JsonArray users(Drains.Drain drain) {
+        JsonArray users = new JsonArray();
+        drain.uses().forEach((proxy, use) -> {
+            boolean sent = Double.isFinite(use.lastIssuedMs());
+            if (sent || use.inProgress() > 0) {
+                users.add(Json.object().add("proxy", proxy).add("in_hand", use.inProgress())
+                        .add("last_new_ms", sent ? Math.round(use.lastIssuedMs() - drain.sinceMs()) : -1));
+            }
+        });
+        return users;
+    }
+
+    private boolean knows(Sessions.Known proxy, Drains.Drain drain) {
         Knowledge knows = proxy.types().get(ResourceType.ENDPOINTS);
         return knows == null || knows.acknowledged() >= drain.serial(fleet.viewOf(proxy.proxy().room()));
     }
--- a/control/src/test/java/opalcove/control/fleet/FleetTest.java
+++ b/control/src/test/java/opalcove/control/fleet/FleetTest.java
@@ -161,12 +161,12 @@
     public void errorsThatProxiesReportLowerAWeightAndFade() throws Exception {
         fleet.told(START, true, false, four());
         View before = fleet.view("room-a");
-        fleet.reported(START + 10, "node-1", 5, 45, 20);
+        fleet.reported(START + 10, "proxy-1", "127.0.0.1:7001", 50, 5, 45, 0);
         assertTrue(fleet.advance(START + 250));
         String line = seen(fleet.view("room-a"), "pod-1").lines().findFirst().orElseThrow();
         assertTrue(Integer.parseInt(line.substring(line.indexOf("7001*") + 5)) < 20, line);
         for (double now = START + 250; now < START + 60_000; now += 250) {
-            fleet.reported(now, "node-2", 20, 0, 20);
+            fleet.reported(now, "proxy-1", "127.0.0.1:7002", 20, 20, 0, 3);
             fleet.advance(now);
         }
         assertEquals(seen(fleet.view("room-a"), "all"), seen(before, "all"));
--- a/control/src/test/java/opalcove/control/server/ControlServiceTest.java
+++ b/control/src/test/java/opalcove/control/server/ControlServiceTest.java
@@ -7,13 +7,21 @@
 import com.eclipsesource.json.Json;
 import com.eclipsesource.json.JsonObject;
 import com.eclipsesource.json.JsonValue;
+import io.envoyproxy.envoy.config.core.v3.Address;
 import io.envoyproxy.envoy.config.core.v3.HealthStatus;
 import io.envoyproxy.envoy.config.core.v3.Locality;
 import io.envoyproxy.envoy.config.core.v3.Node;
+import io.envoyproxy.envoy.config.core.v3.SocketAddress;
 import io.envoyproxy.envoy.config.endpoint.v3.ClusterLoadAssignment;
+import io.envoyproxy.envoy.config.endpoint.v3.ClusterStats;
+import io.envoyproxy.envoy.config.endpoint.v3.UpstreamEndpointStats;
+import io.envoyproxy.envoy.config.endpoint.v3.UpstreamLocalityStats;
 import io.envoyproxy.envoy.service.discovery.v3.AggregatedDiscoveryServiceGrpc;
 import io.envoyproxy.envoy.service.discovery.v3.DiscoveryRequest;
 import io.envoyproxy.envoy.service.discovery.v3.DiscoveryResponse;
+import io.envoyproxy.envoy.service.load_stats.v3.LoadReportingServiceGrpc;
+import io.envoyproxy.envoy.service.load_stats.v3.LoadStatsRequest;
+import io.envoyproxy.envoy.service.load_stats.v3.LoadStatsResponse;
 import io.grpc.Grpc;
 import io.grpc.InsecureChannelCredentials;
 import io.grpc.ManagedChannel;
@@ -23,6 +31,7 @@
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.nio.file.StandardCopyOption;
+import java.util.List;
 import java.util.Map;
 import java.util.TreeMap;
 import java.util.concurrent.BlockingQueue;
@@ -168,6 +177,56 @@
         assertEquals(waiting(service.status()), "");
     }
 
+    @Test
+    public void loadReportsSayWhoStillUsesADrainingNode() throws Exception {
+        Proxy proxy = new Proxy("proxy-1", "door");
+        proxy.next();
+        BlockingQueue<LoadStatsResponse> asked = new LinkedBlockingQueue<>();
+        StreamObserver<LoadStatsRequest> reports = LoadReportingServiceGrpc.newStub(channel).streamLoadStats(
+                new StreamObserver<>() {
+                    @Override
+                    public void onNext(LoadStatsResponse response) {
+                        asked.add(response);
+                    }
+
+                    @Override
+                    public void onError(Throwable cause) {
+                        // The end of the test.
+                    }
+
+                    @Override
+                    public void onCompleted() {
+                        // The end of the test.
+                    }
+                });
+        reports.onNext(LoadStatsRequest.newBuilder().setNode(Node.newBuilder().setId("proxy-1").setCluster("door")).build());
+        LoadStatsResponse response = asked.poll(20, TimeUnit.SECONDS);
+        assertEquals(response.getClustersList(), List.of("swaps"));
+        assertTrue(response.getReportEndpointGranularity());
+        list("up", "draining", "up");
+        proxy.next();
+        reports.onNext(report(7202, 3, 2));
+        String used = statusOnce(status -> usedBy(status).contains("proxy-1"))
+                .get("drains").asArray().get(0).asObject().get("used_by").toString();
+        assertTrue(used.matches("\\[\\{\"proxy\":\"proxy-1\",\"in_hand\":2,\"last_new_ms\":\\d+}]"), used);
+        reports.onNext(report(7202, 0, 0));
+        statusOnce(status -> usedBy(status).contains("\"in_hand\":0"));
+    }
+
+    private static LoadStatsRequest report(int port, long issued, long inProgress) {
+        return LoadStatsRequest.newBuilder().addClusterStats(ClusterStats.newBuilder().setClusterName("swaps")
+                .addUpstreamLocalityStats(UpstreamLocalityStats.newBuilder().addUpstreamEndpointStats(
+                        UpstreamEndpointStats.newBuilder().setTotalIssuedRequests(issued)
+                                .setTotalRequestsInProgress(inProgress).setAddress(Address.newBuilder().setSocketAddress(
+                                        SocketAddress.newBuilder().setAddress("127.0.0.1").setPortValue(port)))))).build();
+    }
+
+    private static String usedBy(JsonObject status) {
+        JsonValue first = status.get("drains").asArray().isEmpty() ? Json.object()
+                : status.get("drains").asArray().get(0);
+        return String.valueOf(first.asObject().get("used_by"));
+    }
+
     @Test
     public void anEmptyOrTornListTakesNothingAway() throws Exception {
         Proxy proxy = new Proxy("proxy-1", "door");
--- a/gateway/src/main/java/opalcove/loop/AroundHandler.java
+++ b/gateway/src/main/java/opalcove/loop/AroundHandler.java
@@ -5,9 +5,13 @@
 import io.netty.channel.IoHandlerContext;
 import io.netty.channel.IoRegistration;
 
-/** A loop's handler around another, to which all goes on that a subclass does not change. */
-public abstract class AroundHandler implements IoHandler {
+/**
+ * A loop's handler around another, and the loop's context around its own: all goes on, either way, that a subclass does not
+ * change. It is the context itself, so that a look at the sockets allocates nothing.
+ */
+public abstract class AroundHandler implements IoHandler, IoHandlerContext {
     private final IoHandler handler;
+    private IoHandlerContext loop;
 
     protected AroundHandler(IoHandler handler) {
         this.handler = handler;
@@ -20,7 +24,33 @@
 
     @Override
     public int run(IoHandlerContext context) {
-        return handler.run(context);
+        loop = context;
+        return handler.run(this);
+    }
+
+    @Override
+    public boolean canBlock() {
+        return loop.canBlock();
+    }
+
+    @Override
+    public long delayNanos(long now) {
+        return loop.delayNanos(now);
+    }
+
+    @Override
+    public long deadlineNanos() {
+        return loop.deadlineNanos();
+    }
+
+    @Override
+    public void reportActiveIoTime(long activeNanos) {
+        loop.reportActiveIoTime(activeNanos);
+    }
+
+    @Override
+    public boolean shouldReportActiveIoTime() {
+        return loop.shouldReportActiveIoTime();
     }
 
     @Override
--- a/gateway/src/main/java/opalcove/loop/PatientTransport.java
+++ b/gateway/src/main/java/opalcove/loop/PatientTransport.java
@@ -1,7 +1,6 @@
 package opalcove.loop;
 
 import io.netty.channel.IoHandler;
-import io.netty.channel.IoHandlerContext;
 import io.netty.channel.IoHandlerFactory;
 import io.netty.util.concurrent.ThreadAwareExecutor;
 import io.vertx.core.impl.transports.NioTransport;
@@ -28,42 +27,14 @@
     }
 
     /** Hands its loop's handler a context in which what is to be waited for is a little further away. */
-    private static final class Patient extends AroundHandler implements IoHandlerContext {
-        private IoHandlerContext loop;
-
+    private static final class Patient extends AroundHandler {
         Patient(IoHandler handler) {
             super(handler);
         }
 
-        @Override
-        public int run(IoHandlerContext context) {
-            loop = context;
-            return super.run(this);
-        }
-
-        @Override
-        public boolean canBlock() {
-            return loop.canBlock();
-        }
-
         @Override
         public long delayNanos(long now) {
-            return later(loop.delayNanos(now));
-        }
-
-        @Override
-        public long deadlineNanos() {
-            return loop.deadlineNanos();
-        }
-
-        @Override
-        public void reportActiveIoTime(long activeNanos) {
-            loop.reportActiveIoTime(activeNanos);
-        }
-
-        @Override
-        public boolean shouldReportActiveIoTime() {
-            return loop.shouldReportActiveIoTime();
+            return later(super.delayNanos(now));
         }
 
         /** What is due already is not put off, and no timer stays none. */
--- a/laboratory/src/main/java/opalcove/laboratory/Lockstep.java
+++ b/laboratory/src/main/java/opalcove/laboratory/Lockstep.java
@@ -127,6 +127,8 @@
         }
 
         private final class Watched extends AroundHandler {
+            private boolean hurried;
+
             Watched(IoHandler handler) {
                 super(handler);
             }
@@ -134,43 +136,19 @@
             @Override
             public int run(IoHandlerContext context) {
                 CompletableFuture<Void> still = asked.get();
-                if (still == null) {
-                    return super.run(context);
-                }
-                int handled = super.run(new Hurried(context));
-                if (handled == 0 && asked.compareAndSet(still, null)) {
+                hurried = still != null;
+                int handled = super.run(context);
+                if (hurried && handled == 0 && asked.compareAndSet(still, null)) {
                     still.complete(null);
                 }
                 return handled;
             }
-        }
-    }
-
-    /** Has a look at the sockets not wait for anything. */
-    private record Hurried(IoHandlerContext context) implements IoHandlerContext {
-        @Override
-        public boolean canBlock() {
-            return false;
-        }
-
-        @Override
-        public long delayNanos(long now) {
-            return context.delayNanos(now);
-        }
-
-        @Override
-        public long deadlineNanos() {
-            return context.deadlineNanos();
-        }
 
-        @Override
-        public void reportActiveIoTime(long activeNanos) {
-            context.reportActiveIoTime(activeNanos);
-        }
-
-        @Override
-        public boolean shouldReportActiveIoTime() {
-            return context.shouldReportActiveIoTime();
+            /** A look that somebody asked for does not wait for anything. */
+            @Override
+            public boolean canBlock() {
+                return !hurried && super.canBlock();
+            }
         }
     }
 }
