Renew leases on endpoints before they end

Cause: lease_ms gave a cluster's endpoints a lifetime that nobody renewed, so proxies that keep to it would have dropped them all.

Measured: an incremental stream hears the renewal (aLeaseIsRenewedBeforeItEnds fails without it); control's tests green.

--- a/control/src/main/java/opalcove/control/server/ControlService.java
+++ b/control/src/main/java/opalcove/control/server/ControlService.java
@@ -27,6 +27,8 @@
 /** The control service by its settings: node list in, proxies told, state on request. */
 public final class ControlService implements AutoCloseable {
     private static final long STATUS_SECONDS = 5;
+    /** Lifetimes are renewed so often in the shortest of them: two renewals may be late or lost. */
+    private static final long RENEWALS = 3;
 
     private final Desk desk = new Desk();
     private final Clock clock = new Clock();
@@ -66,6 +68,8 @@
         nodes = new NodeFile(config.nodes(), (override, list) -> desk.execute(() -> told(override, list)),
                 problem -> desk.execute(() -> failed(problem)));
         desk.execute(this::wake);
+        config.clusters().stream().mapToLong(Fleet.Cluster::leaseMs).filter(lease -> lease > 0).min()
+                .ifPresent(lease -> desk.execute(() -> renew(lease / RENEWALS)));
         Logger.info("control service {} on port {}", config.name(), port());
     }
 
@@ -105,6 +109,11 @@
         alarm = desk.in(fleet.nextAlarm() - clock.now(), this::wake);
     }
 
+    private void renew(long everyMs) {
+        sessions.renew();
+        desk.in(everyMs, () -> renew(everyMs));
+    }
+
     /** Its state, taken on the desk. */
     public JsonObject status() throws IOException {
         CompletableFuture<JsonObject> taken = new CompletableFuture<>();
--- a/control/src/test/java/opalcove/control/server/ControlServiceTest.java
+++ b/control/src/test/java/opalcove/control/server/ControlServiceTest.java
@@ -17,6 +17,8 @@
 import io.envoyproxy.envoy.config.endpoint.v3.UpstreamEndpointStats;
 import io.envoyproxy.envoy.config.endpoint.v3.UpstreamLocalityStats;
 import io.envoyproxy.envoy.service.discovery.v3.AggregatedDiscoveryServiceGrpc;
+import io.envoyproxy.envoy.service.discovery.v3.DeltaDiscoveryRequest;
+import io.envoyproxy.envoy.service.discovery.v3.DeltaDiscoveryResponse;
 import io.envoyproxy.envoy.service.discovery.v3.DiscoveryRequest;
 import io.envoyproxy.envoy.service.discovery.v3.DiscoveryResponse;
 import io.envoyproxy.envoy.service.load_stats.v3.LoadReportingServiceGrpc;
@@ -55,7 +57,9 @@
     public void open() throws Exception {
         folder = Files.createTempDirectory("control");
         JsonObject settings = Json.parse(Files.readString(Path.of("deploy/control.json"))).asObject();
-        settings.set("listen", "127.0.0.1:0").set("status", "127.0.0.1:0").set("admit", Json.array("door"));
+        settings.set("listen", "127.0.0.1:0").set("status", "127.0.0.1:0").set("admit", Json.array("door"))
+                .set("clusters", Json.array().add(Json.object().add("name", "swaps"))
+                        .add(Json.object().add("name", "leased").add("lease_ms", 1000)));
         Files.writeString(folder.resolve("control.json"), settings.toString());
         list("up", "up", "up");
         service = new ControlService(ControlSettings.read(folder.resolve("control.json")));
@@ -177,6 +181,34 @@
         assertEquals(waiting(service.status()), "");
     }
 
+    @Test
+    public void aLeaseIsRenewedBeforeItEnds() throws Exception {
+        BlockingQueue<DeltaDiscoveryResponse> told = new LinkedBlockingQueue<>();
+        StreamObserver<DeltaDiscoveryRequest> out = AggregatedDiscoveryServiceGrpc.newStub(channel)
+                .deltaAggregatedResources(new StreamObserver<>() {
+                    @Override
+                    public void onNext(DeltaDiscoveryResponse response) {
+                        told.add(response);
+                    }
+
+                    @Override
+                    public void onError(Throwable cause) {
+                        // The end of the test.
+                    }
+
+                    @Override
+                    public void onCompleted() {
+                        // The end of the test.
+                    }
+                });
+        out.onNext(DeltaDiscoveryRequest.newBuilder().setTypeUrl(TYPE).addResourceNamesSubscribe("leased")
+                .setNode(Node.newBuilder().setId("proxy-1").setCluster("door")).build());
+        assertTrue(told.poll(20, TimeUnit.SECONDS).getResources(0).hasResource());
+        DeltaDiscoveryResponse renewal = told.poll(20, TimeUnit.SECONDS);
+        assertEquals(renewal.getResources(0).getName(), "leased");
+        assertEquals(renewal.getResources(0).hasResource(), false);
+    }
+
     @Test
     public void loadReportsSayWhoStillUsesADrainingNode() throws Exception {
         Proxy proxy = new Proxy("proxy-1", "door");
@@ -201,7 +233,7 @@
                 });
         reports.onNext(LoadStatsRequest.newBuilder().setNode(Node.newBuilder().setId("proxy-1").setCluster("door")).build());
         LoadStatsResponse response = asked.poll(20, TimeUnit.SECONDS);
-        assertEquals(response.getClustersList(), List.of("swaps"));
+        assertEquals(response.getClustersList(), List.of("swaps", "leased"));
         assertTrue(response.getReportEndpointGranularity());
         list("up", "draining", "up");
         proxy.next();
--- a/control/src/test/java/opalcove/control/xds/DeltaTest.java
+++ b/control/src/test/java/opalcove/control/xds/DeltaTest.java
@@ -5,6 +5,7 @@
 import static org.testng.Assert.assertEquals;
 import static org.testng.Assert.assertFalse;
 
+import io.envoyproxy.envoy.service.discovery.v3.DeltaDiscoveryResponse;
 import java.util.List;
 import java.util.Map;
 import org.testng.annotations.Test;
@@ -95,6 +96,25 @@
         assertFalse(told.toString().contains("n8"), "few enough responses: " + told);
     }
 
+    @Test
+    public void aLifetimeIsRenewedWithoutTheResource() throws Exception {
+        Proxy proxy = new Proxy();
+        proxy.view = View.EMPTY.with(List.of(Resources.endpoints("leased", 3000, List.of())), Map.of());
+        proxy.set(ENDPOINTS, 1, "kept");
+        proxy.subscribe(ENDPOINTS, "leased", "kept");
+        assertEquals(proxy.changed(), "ENDPOINTS n1: kept leased");
+        DeltaDiscoveryResponse renewal = proxy.delta.renewals(proxy.view, 0).get(0);
+        assertEquals(renewal.getNonce(), "n2");
+        assertEquals(renewal.getResourcesCount(), 1);
+        assertEquals(renewal.getResources(0).getName(), "leased");
+        assertEquals(renewal.getResources(0).getVersion(), proxy.view.get(ENDPOINTS, "leased").version());
+        assertEquals(renewal.getResources(0).getTtl().getSeconds(), 3);
+        assertFalse(renewal.getResources(0).hasResource());
+        proxy.take(ENDPOINTS, "n1");
+        proxy.take(ENDPOINTS, "n2");
+        assertEquals(proxy.delta.knowledge(ENDPOINTS, 9).waitingMs(), 0.0);
+    }
+
     @Test
     public void aProxyThatNeverAnswersCostsABoundedAmount() {
         Proxy proxy = new Proxy().set(ENDPOINTS, 0, "a");
