Encode what proxies see only when a share has moved, and drop what nothing calls

Cause: each tick of the module, four a second, encoded and hashed all clusters and endpoints of all rooms anew, and found them the same. Read again, the change also held parts that nothing calls.

Change: clusters are encoded once; views are made anew when a share or the list has changed. Gone: unused counts of Sessions, the time that requests no longer need, a field of a drain's uses; the status takes the proxies' knowledge once, not once a drain.

--- a/control/src/main/java/opalcove/control/fleet/Drains.java
+++ b/control/src/main/java/opalcove/control/fleet/Drains.java
@@ -21,9 +21,8 @@
      *
      * @param lastIssuedMs when it last told of new work there; negative infinity: never since the drain
      * @param inProgress what it had in hand there when it last reported
-     * @param lastReportMs when it last reported of it
      */
-    public record Use(double lastIssuedMs, long inProgress, double lastReportMs) { }
+    public record Use(double lastIssuedMs, long inProgress) { }
 
     /**
      * A node that was told to take nothing new.
@@ -71,7 +70,7 @@
         if (drain != null) {
             Use before = drain.uses().get(proxy);
             double last = issued > 0 ? now : before == null ? Double.NEGATIVE_INFINITY : before.lastIssuedMs();
-            drain.uses().put(proxy, new Use(last, inProgress, now));
+            drain.uses().put(proxy, new Use(last, inProgress));
         }
     }
 }
--- a/control/src/main/java/opalcove/control/fleet/Fleet.java
+++ b/control/src/main/java/opalcove/control/fleet/Fleet.java
@@ -58,7 +58,8 @@
     private final Set<String> rooms = new TreeSet<>();
     private final Drains drains = new Drains();
     private final Map<String, String> byAddress = new HashMap<>();
-    private final List<Resource> routing;
+    /** What all proxies see whatever the nodes do: routing, and the clusters without their endpoints. */
+    private final List<Resource> fixed;
     private double now;
 
     /** Routing: listeners and routes that all proxies see beside the clusters. */
@@ -66,7 +67,9 @@
                  List<Resource> routing) {
         this.now = now;
         this.clusters = List.copyOf(clusters);
-        this.routing = List.copyOf(routing);
+        List<Resource> all = new ArrayList<>(routing);
+        clusters.forEach(each -> all.add(Resources.cluster(each.name())));
+        fixed = List.copyOf(all);
         guard = new ListGuard(mostShrink);
         module = new Policy(now, settings, seed, new Alarms());
     }
@@ -125,7 +128,9 @@
             byAddress.put(node.address(), node.name());
         });
         module.hosts(now, true, believed.stream().map(AppNode::host).toList());
+        weigh();
         look();
+        noteDrains();
     }
 
     /** Takes in that a source of the node list failed; what was known stays. */
@@ -156,7 +161,12 @@
             module.timer(now, alarms.poll().token);
             any = true;
         }
-        return any && look();
+        if (!any) {
+            return false;
+        }
+        boolean changed = weigh() && look();
+        noteDrains();
+        return changed;
     }
 
     /** When {@link #advance} has something to do next. */
@@ -185,20 +195,23 @@
     }
 
     private boolean look() {
-        weigh();
         rooms.clear();
         nodes.values().forEach(node -> rooms.add(node.host().zone()));
         views.keySet().removeIf(room -> !room.isEmpty() && !rooms.contains(room));
         boolean changed = false;
         for (Map.Entry<String, View> each : views.entrySet()) {
-            View next = nodes.isEmpty() && each.getValue() == View.EMPTY ? View.EMPTY : each.getValue().with(resources(each.getKey()), Map.of());
+            View next = nodes.isEmpty() && each.getValue() == View.EMPTY ? View.EMPTY
+                    : each.getValue().with(resources(each.getKey()), Map.of());
             changed |= next != each.getValue();
             each.setValue(next);
         }
+        return changed;
+    }
+
+    private void noteDrains() {
         Map<String, Long> serials = new HashMap<>();
         views.forEach((room, view) -> serials.put(room, view.serial()));
         drains.look(now, nodes, serials);
-        return changed;
     }
 
     private View made(String room) {
@@ -206,9 +219,8 @@
     }
 
     private List<Resource> resources(String room) {
-        List<Resource> resources = new ArrayList<>(routing);
+        List<Resource> resources = new ArrayList<>(fixed);
         for (Cluster cluster : clusters) {
-            resources.add(Resources.cluster(cluster.name()));
             resources.add(endpoints(cluster, room));
         }
         return resources;
@@ -248,18 +260,21 @@
     /**
      * Takes in what the module says. A share that moved by less than a tenth stays as it was told, so that a ramp changes
      * what proxies are told some twenty times, and noise in reports does not at all. A growing share is never ahead of
-     * what the module allows.
+     * what the module allows. True where any has moved.
      */
-    private void weigh() {
+    private boolean weigh() {
+        boolean any = false;
         shares.keySet().retainAll(nodes.keySet());
         for (Policy.Room each : module.rooms(now)) {
             double share = each.share() >= ALL ? 1 : each.share();
             double told = shares.getOrDefault(each.host(), 0.0);
-            boolean moved = Math.abs(share - told) > STEP * told || share == 1;
+            boolean moved = share != told && (Math.abs(share - told) > STEP * told || share == 1);
             if (nodes.containsKey(each.host()) && moved) {
                 shares.put(each.host(), share);
+                any = true;
             }
         }
+        return any;
     }
 
     /** All nodes that are believed to be there. */
--- a/control/src/main/java/opalcove/control/server/ControlService.java
+++ b/control/src/main/java/opalcove/control/server/ControlService.java
@@ -129,8 +129,9 @@
     }
 
     private JsonObject state() {
+        List<Sessions.Known> known = sessions.known();
         JsonArray proxies = new JsonArray();
-        for (Sessions.Known each : sessions.known()) {
+        for (Sessions.Known each : known) {
             JsonObject types = new JsonObject();
             each.types().forEach((type, knows) -> types.add(type.name().toLowerCase(java.util.Locale.ROOT), Json.object()
                     .add("behind", fleet.view(each.proxy().room()).serial() - knows.acknowledged())
@@ -142,7 +143,7 @@
         JsonArray drains = new JsonArray();
         for (Drains.Drain drain : fleet.drains()) {
             JsonArray waiting = new JsonArray();
-            sessions.known().stream().filter(each -> !knows(each, drain)).forEach(each -> waiting.add(each.proxy().id()));
+            known.stream().filter(each -> !knows(each, drain)).forEach(each -> waiting.add(each.proxy().id()));
             drains.add(Json.object().add("node", drain.node()).add("since_ms", Math.round(clock.now() - drain.sinceMs()))
                     .add("not_acknowledged_by", waiting).add("used_by", users(drain)));
         }
--- a/control/src/main/java/opalcove/control/server/Session.java
+++ b/control/src/main/java/opalcove/control/server/Session.java
@@ -63,7 +63,7 @@
             Logger.info("proxy {} asks for {}, which is not served", proxy.id(), url);
             return;
         }
-        stream.request(type, request, sessions.desk().now());
+        stream.request(type, request);
         tell();
     }
 
--- a/control/src/main/java/opalcove/control/server/Sessions.java
+++ b/control/src/main/java/opalcove/control/server/Sessions.java
@@ -20,7 +20,6 @@
 import java.util.UUID;
 import opalcove.control.xds.Knowledge;
 import opalcove.control.xds.ResourceType;
-import opalcove.control.xds.View;
 
 /** All open streams of all proxies, and the services on which they are opened. Used on the desk's thread alone. */
 public final class Sessions {
@@ -66,20 +65,6 @@
         List.copyOf(open).forEach(Session::renew);
     }
 
-    /** How many streams are open. */
-    public int size() {
-        return open.size();
-    }
-
-    /** How many proxies with an open stream of endpoints have answered for all of their view. */
-    public long upToDate() {
-        return open.stream().filter(each -> {
-            View view = views.of(each.proxy());
-            return view != null && each.knowledge(ResourceType.ENDPOINTS) != null
-                    && each.knowledge(ResourceType.ENDPOINTS).acknowledged() >= view.serial();
-        }).count();
-    }
-
     /** A proxy on an open stream, and what it knows by type. */
     public record Known(ProxyIdentity proxy, Map<ResourceType, Knowledge> types) { }
 
@@ -88,8 +73,9 @@
         return open.stream().map(each -> {
             Map<ResourceType, Knowledge> types = new EnumMap<>(ResourceType.class);
             for (ResourceType type : ResourceType.values()) {
-                if (each.knowledge(type) != null) {
-                    types.put(type, each.knowledge(type));
+                Knowledge knows = each.knowledge(type);
+                if (knows != null) {
+                    types.put(type, knows);
                 }
             }
             return new Known(each.proxy(), types);
--- a/control/src/main/java/opalcove/control/xds/DeltaFeed.java
+++ b/control/src/main/java/opalcove/control/xds/DeltaFeed.java
@@ -26,7 +26,7 @@
     }
 
     @Override
-    void request(DeltaDiscoveryRequest request, double now) {
+    void request(DeltaDiscoveryRequest request) {
         if (!request.getResponseNonce().isEmpty()) {
             answered(request.getResponseNonce(), request.hasErrorDetail() ? request.getErrorDetail() : null);
         }
--- a/control/src/main/java/opalcove/control/xds/Feed.java
+++ b/control/src/main/java/opalcove/control/xds/Feed.java
@@ -63,7 +63,7 @@
     }
 
     /** Takes in a request: its subscriptions, and its answer to an earlier response. */
-    abstract void request(Q request, double now);
+    abstract void request(Q request);
 
     /** Builds a response of these resources; names without one are told as absent, where this variant can. */
     abstract R response(String nonce, View view, Map<String, Resource> resources, Set<String> absent);
@@ -333,9 +333,4 @@
         return new Knowledge(toldSerial, answeredSerial, owed.isEmpty() ? 0 : now - owed.peekFirst().at, taken, refused,
                 reason, refusedAlone.size());
     }
-
-    /** The versions that the proxy was told, by name. */
-    final Map<String, String> told() {
-        return told;
-    }
 }
--- a/control/src/main/java/opalcove/control/xds/ProxyStream.java
+++ b/control/src/main/java/opalcove/control/xds/ProxyStream.java
@@ -49,8 +49,8 @@
     }
 
     /** Takes in a request for a type: subscriptions, or an answer, or both. */
-    public void request(ResourceType type, Q request, double now) {
-        feeds.computeIfAbsent(type, made).request(request, now);
+    public void request(ResourceType type, Q request) {
+        feeds.computeIfAbsent(type, made).request(request);
     }
 
     /** What the proxy is to be told by now, in order. Calling it again with nothing new gives nothing. */
--- a/control/src/main/java/opalcove/control/xds/SotwFeed.java
+++ b/control/src/main/java/opalcove/control/xds/SotwFeed.java
@@ -41,7 +41,7 @@
     }
 
     @Override
-    void request(DiscoveryRequest request, double now) {
+    void request(DiscoveryRequest request) {
         String nonce = request.getResponseNonce();
         if (opened && !nonce.isEmpty()) {
             boolean last = isLast(nonce);
--- a/control/src/test/java/opalcove/control/xds/DeltaTest.java
+++ b/control/src/test/java/opalcove/control/xds/DeltaTest.java
@@ -60,7 +60,7 @@
     public void aProxyThatComesBackIsToldWhatChangedMeanwhile() {
         Proxy proxy = new Proxy().set(CLUSTER, 1, "same", "other", "fresh");
         proxy.delta.request(CLUSTER, proxy.change(CLUSTER, "m4").putAllInitialResourceVersions(Map.of(
-                "same", proxy.view.get(CLUSTER, "same").version(), "other", "0123456789abcdef", "gone", "1")).build(), 0);
+                "same", proxy.view.get(CLUSTER, "same").version(), "other", "0123456789abcdef", "gone", "1")).build());
         assertEquals(proxy.changed(), "CLUSTER n1: fresh other -gone");
     }
 
@@ -68,7 +68,7 @@
     public void namedOnesThatAreKnownAreNotToldAgainOnReturn() {
         Proxy proxy = new Proxy().set(ENDPOINTS, 1, "a", "b");
         proxy.delta.request(ENDPOINTS, proxy.change(ENDPOINTS, "").addAllResourceNamesSubscribe(List.of("a", "b"))
-                .putInitialResourceVersions("a", proxy.view.get(ENDPOINTS, "a").version()).build(), 0);
+                .putInitialResourceVersions("a", proxy.view.get(ENDPOINTS, "a").version()).build());
         assertEquals(proxy.changed(), "ENDPOINTS n1: b");
     }
 
--- a/control/src/test/java/opalcove/control/xds/Proxy.java
+++ b/control/src/test/java/opalcove/control/xds/Proxy.java
@@ -52,13 +52,13 @@
     /** Asks for names on the state-of-the-world stream. */
     void ask(ResourceType type, String nonce, String... names) {
         sotw.request(type, DiscoveryRequest.newBuilder().setTypeUrl(type.url()).setResponseNonce(nonce)
-                .addAllResourceNames(List.of(names)).build(), now);
+                .addAllResourceNames(List.of(names)).build());
     }
 
     void refuse(ResourceType type, String nonce, String reason, String... names) {
         sotw.request(type, DiscoveryRequest.newBuilder().setTypeUrl(type.url()).setResponseNonce(nonce)
                 .addAllResourceNames(List.of(names)).setErrorDetail(Status.newBuilder().setCode(3).setMessage(reason))
-                .build(), now);
+                .build());
     }
 
     /** What it is told now: {@code TYPE nonce: names}, a response a line. */
@@ -76,20 +76,19 @@
     }
 
     void subscribe(ResourceType type, String... names) {
-        delta.request(type, change(type, "").addAllResourceNamesSubscribe(List.of(names)).build(), now);
+        delta.request(type, change(type, "").addAllResourceNamesSubscribe(List.of(names)).build());
     }
 
     void unsubscribe(ResourceType type, String... names) {
-        delta.request(type, change(type, "").addAllResourceNamesUnsubscribe(List.of(names)).build(), now);
+        delta.request(type, change(type, "").addAllResourceNamesUnsubscribe(List.of(names)).build());
     }
 
     void take(ResourceType type, String nonce) {
-        delta.request(type, change(type, nonce).build(), now);
+        delta.request(type, change(type, nonce).build());
     }
 
     void reject(ResourceType type, String nonce, String reason) {
-        delta.request(type, change(type, nonce).setErrorDetail(Status.newBuilder().setCode(3).setMessage(reason)).build(),
-                now);
+        delta.request(type, change(type, nonce).setErrorDetail(Status.newBuilder().setCode(3).setMessage(reason)).build());
     }
 
     /** What it is told now on the incremental stream: {@code TYPE nonce: names -removed}. */
