Spread list calls with growing waits, and open at once on a list known from before

Restarted gateways served 2.8 s after their process began, 1 s of that waiting for a list that did not come, and part of it setting up a rehearsal that cannot come off there (logged: nobody is reached at its UNIX socket).

Checked: a probe logged each list call and its end: with waits drawn around 0.2 to 3.2 s the running gateways hear of all changes from the release on; restarted ones still ended calls themselves at 1.5 s where the service refuses at 2 s, so silence is now 2.5 s. Ruled out: lists lost in reading (none came), a closed connection (status 503).

At fault: DiscoveryWatch.next (a fixed tenth of a second, no spread), Serve.start (waiting for the list although one is known, an event loop for a rehearsal before it is known whether one can be).

--- /dev/null
+++ b/gateway/src/main/java/opalcove/gateway/GrowingWait.java
@@ -0,0 +1,37 @@
+package opalcove.gateway;
+
+import java.util.random.RandomGenerator;
+
+/**
+ * Waits between tries at something that all gateways try: each twice as long as the one before, up to a bound, and each
+ * drawn anew. Guards a party that is overbooked against gateways that ask again as one, and as soon as they are refused:
+ * at 14 gateways a fixed tenth of a second kept a list service from answering any of them for a whole day.
+ */
+public final class GrowingWait {
+    private final double leastMs;
+    private final double mostMs;
+    private final RandomGenerator random;
+    private double mean;
+
+    public GrowingWait(double leastMs, double mostMs, RandomGenerator random) {
+        if (!(leastMs >= 1) || !(mostMs >= leastMs)) {
+            throw new IllegalArgumentException("a wait from " + leastMs + " to " + mostMs + " ms");
+        }
+        this.leastMs = leastMs;
+        this.mostMs = mostMs;
+        this.random = random;
+        mean = leastMs;
+    }
+
+    /** The next wait, ms: from half to one and a half times what has grown so far. */
+    public long next() {
+        double wait = mean * (0.5 + random.nextDouble());
+        mean = Math.min(mostMs, 2 * mean);
+        return Math.max(1, Math.round(wait));
+    }
+
+    /** A try has come off: the next wait is a short one again. */
+    public void reset() {
+        mean = leastMs;
+    }
+}
--- a/gateway/src/main/java/opalcove/platform/DiscoveryWatch.java
+++ b/gateway/src/main/java/opalcove/platform/DiscoveryWatch.java
@@ -11,18 +11,24 @@
 import io.vertx.core.http.HttpMethod;
 import io.vertx.core.http.RequestOptions;
 import java.util.List;
+import java.util.random.RandomGenerator;
 import opalcove.gateway.AppNode;
 import opalcove.gateway.BadSettings;
 import opalcove.gateway.Endpoint;
 import opalcove.gateway.Fields;
+import opalcove.gateway.GrowingWait;
 import opalcove.gateway.NodeLines;
 import org.tinylog.Logger;
 
 /** Follows the node list at discovery: the whole list first, then a watch that is renewed at once. */
 public final class DiscoveryWatch {
     private static final int WAIT_MS = 10_000;
-    private static final int SILENCE_MS = 1500;
-    private static final long AGAIN_MS = 100;
+    private static final int SILENCE_MS = 2500;
+    /** Waits after calls that failed; a watch is renewed at once. */
+    private static final double AGAIN_MS = 200;
+    private static final double AGAIN_MOST_MS = 3200;
+    /** Each gateway's first call goes out within so long for each of them, ms: not all in one instant after a release. */
+    private static final double SPREAD_MS = 20;
 
     /** Takes in lines of the node list. */
     public interface Listener {
@@ -33,6 +39,8 @@
     private final HttpClient client;
     private final Listener listener;
     private final Promise<Void> first = Promise.promise();
+    private final GrowingWait again;
+    private final long firstAfterMs;
     private Endpoint address;
     /** How often the address has changed: what began at an earlier one is not heard any more. */
     private int moves;
@@ -40,7 +48,14 @@
     private long index = -1;
     private boolean silent;
 
-    public DiscoveryWatch(Vertx vertx, Endpoint address, Listener listener) {
+    public DiscoveryWatch(Vertx vertx, Endpoint address, int gateways, RandomGenerator random, Listener listener) {
+        this(vertx, address, (long) (SPREAD_MS * (gateways - 1) * random.nextDouble()),
+                new GrowingWait(AGAIN_MS, AGAIN_MOST_MS, random), listener);
+    }
+
+    DiscoveryWatch(Vertx vertx, Endpoint address, long firstAfterMs, GrowingWait again, Listener listener) {
+        this.firstAfterMs = firstAfterMs;
+        this.again = again;
         this.vertx = vertx;
         this.listener = listener;
         this.address = address;
@@ -50,7 +65,12 @@
 
     /** Starts following; the future succeeds once a first list has come, however many calls that takes. */
     public Future<Void> start() {
-        watch();
+        if (firstAfterMs > 0) {
+            int move = moves;
+            vertx.setTimer(firstAfterMs, due -> watchStill(move));
+        } else {
+            watch();
+        }
         return first.future();
     }
 
@@ -63,6 +83,7 @@
         address = elsewhere;
         // Guards against versions of two discoveries taken for one another's, and against a late answer of the old one.
         moves++;
+        again.reset();
         index = -1;
         if (running != null) {
             running.reset();
@@ -78,7 +99,7 @@
             // Not within the end of the answer, when its connection is not free yet and a second would be opened.
             vertx.runOnContext(free -> watchStill(move));
         } else {
-            vertx.setTimer(AGAIN_MS, due -> watchStill(move));
+            vertx.setTimer(again.next(), due -> watchStill(move));
         }
     }
 
@@ -128,6 +149,7 @@
             List<AppNode> lines = NodeLines.read(list.objects("endpoints"));
             index = list.serial("index");
             silent = false;
+            again.reset();
             boolean whole = list.flag("snapshot");
             if (whole || !lines.isEmpty()) {
                 listener.told(whole, lines);
--- a/gateway/src/main/java/opalcove/platform/Rehearsal.java
+++ b/gateway/src/main/java/opalcove/platform/Rehearsal.java
@@ -8,6 +8,10 @@
 import io.vertx.core.net.NetSocket;
 import io.vertx.core.net.SocketAddress;
 import java.io.IOException;
+import java.net.StandardProtocolFamily;
+import java.net.UnixDomainSocketAddress;
+import java.nio.channels.ServerSocketChannel;
+import java.nio.channels.SocketChannel;
 import java.nio.charset.StandardCharsets;
 import java.nio.file.Files;
 import java.nio.file.Path;
@@ -19,6 +23,7 @@
 import java.util.concurrent.TimeoutException;
 import java.util.function.BiConsumer;
 import java.util.function.Consumer;
+import java.util.function.Supplier;
 import opalcove.decision.Admission;
 import opalcove.gateway.AppNode;
 import opalcove.gateway.Ask;
@@ -53,19 +58,26 @@
     }
 
     /**
-     * Plays for so long at most and then closes the Vert.x instance it was given; a failure costs nothing but time.
+     * Plays for so long at most and then closes the Vert.x instance, made only if there is a play; a failure costs nothing but time.
      * Gives the number of asks that were answered.
      */
-    public static int play(Vertx vertx, Admission.Settings settings, long mostMs) {
-        Rehearsal rehearsal = new Rehearsal(vertx, settings);
+    public static int play(Supplier<Vertx> loop, Admission.Settings settings, long mostMs) {
+        Rehearsal rehearsal = null;
         try {
             Path folder = Files.createTempDirectory("rehearsal");
             Path node = folder.resolve("node");
             Path front = folder.resolve("front");
+            if (!reached(node)) {
+                Files.delete(folder);
+                Logger.info("no rehearsal: nobody is reached at a UNIX socket here");
+                return 0;
+            }
+            Vertx vertx = loop.get();
+            Rehearsal playing = rehearsal = new Rehearsal(vertx, settings);
             try {
-                vertx.runOnContext(start -> rehearsal.open(SocketAddress.domainSocketAddress(node.toString()),
-                        SocketAddress.domainSocketAddress(front.toString())).onFailure(rehearsal.played::tryFail));
-                rehearsal.end(mostMs);
+                vertx.runOnContext(start -> playing.open(SocketAddress.domainSocketAddress(node.toString()),
+                        SocketAddress.domainSocketAddress(front.toString())).onFailure(playing.played::tryFail));
+                playing.end(mostMs);
             } finally {
                 vertx.close().toCompletionStage().toCompletableFuture().get(mostMs, TimeUnit.MILLISECONDS);
                 for (Path each : List.of(node, front, folder)) {
@@ -79,7 +91,25 @@
         } catch (InterruptedException e) {
             Thread.currentThread().interrupt();
         }
-        return rehearsal.answered;
+        return rehearsal == null ? 0 : rehearsal.answered;
+    }
+
+    /**
+     * Whether a UNIX socket in this folder is any good. Guards the start on platforms that let one listen there and
+     * nobody come: an event loop, front and links were set up for nothing, a quarter of the start's processor time.
+     */
+    static boolean reached(Path at) throws IOException {
+        UnixDomainSocketAddress address = UnixDomainSocketAddress.of(at);
+        try (ServerSocketChannel server = ServerSocketChannel.open(StandardProtocolFamily.UNIX)) {
+            server.bind(address);
+            try (SocketChannel caller = SocketChannel.open(address)) {
+                return caller.isConnected();
+            }
+        } catch (IOException | UnsupportedOperationException e) {
+            return false;
+        } finally {
+            Files.deleteIfExists(at);
+        }
     }
 
     /**
--- a/gateway/src/main/java/opalcove/platform/Serve.java
+++ b/gateway/src/main/java/opalcove/platform/Serve.java
@@ -1,6 +1,8 @@
 package opalcove.platform;
 
+import io.vertx.core.Future;
 import io.vertx.core.Vertx;
+import java.util.SplittableRandom;
 import java.util.concurrent.TimeUnit;
 import opalcove.gateway.BadSettings;
 import opalcove.gateway.Clock;
@@ -11,7 +13,7 @@
 
 /** The platform's gateway: RESP2 on both sides, the node list from discovery. */
 public final class Serve {
-    /** How long to wait for discovery's first answer before the list known from before must do, ms. */
+    /** How long to wait for discovery's first answer before the list known from before, if any, must do, ms. */
     private static final long FIRST_LIST_MS = 1000;
     /** How long the rehearsal may take, ms; it is over sooner on a whole core. */
     private static final long REHEARSAL_MS = 4000;
@@ -24,22 +26,25 @@
         // Before anything else: unheard, SIGHUP would end the program.
         Hangups hangups = new Hangups();
         Config config = Config.read(System.getenv());
-        Logger.info("rehearsed {} asks", Rehearsal.play(Program.eventLoop(), config.settings(), REHEARSAL_MS));
+        Logger.info("rehearsed {} asks", Rehearsal.play(Program::eventLoop, config.settings(), REHEARSAL_MS));
         Program program = new Program();
         program.start(vertx -> {
             LinkPool links = new LinkPool(vertx, config.settings(), new RespDialler(vertx, config.settings()),
                     config.sockets() * 2 / 5);
             Gateway gateway = new Gateway(vertx, new Clock(), config.settings(), config.seed(), links);
             RespFront front = new RespFront(vertx, gateway, program.phases(), config.sockets() * 2 / 5);
-            DiscoveryWatch discovery = new DiscoveryWatch(vertx, config.discovery(), gateway::nodesTold);
+            DiscoveryWatch discovery = new DiscoveryWatch(vertx, config.discovery(), config.settings().gateways(),
+                    new SplittableRandom(config.seed()), gateway::nodesTold);
             program.atEnd(gateway, front::drain);
             if (!config.known().isEmpty()) {
                 // An empty list would make every node of discovery's first one look newly started, and cold.
                 gateway.nodesTold(true, config.known());
             }
             hangups.listen(() -> reload(config, vertx, discovery));
-            discovery.start().timeout(FIRST_LIST_MS, TimeUnit.MILLISECONDS).onComplete(listed ->
-                    program.open(front.listen(config.listen())));
+            Future<Void> listed = discovery.start();
+            // A list known from before will do: a gateway that waits for an overbooked discovery is only away longer.
+            (config.known().isEmpty() ? listed.timeout(FIRST_LIST_MS, TimeUnit.MILLISECONDS) : Future.succeededFuture())
+                    .onComplete(ready -> program.open(front.listen(config.listen())));
         });
     }
 
--- /dev/null
+++ b/gateway/src/test/java/opalcove/gateway/GrowingWaitTest.java
@@ -0,0 +1,47 @@
+package opalcove.gateway;
+
+import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertNotEquals;
+import static org.testng.Assert.assertThrows;
+import static org.testng.Assert.assertTrue;
+
+import java.util.SplittableRandom;
+import java.util.stream.IntStream;
+import org.testng.annotations.Test;
+
+public class GrowingWaitTest {
+    private static long[] waits(long seed, int count) {
+        GrowingWait wait = new GrowingWait(200, 3200, new SplittableRandom(seed));
+        return IntStream.range(0, count).mapToLong(i -> wait.next()).toArray();
+    }
+
+    @Test
+    public void eachWaitIsDrawnAroundTwiceTheOneBeforeUpToABound() {
+        for (long seed = 0; seed < 200; seed++) {
+            long[] waits = waits(seed, 9);
+            for (int i = 0; i < waits.length; i++) {
+                double mean = Math.min(3200, 200 << i);
+                assertTrue(waits[i] >= 0.5 * mean - 1 && waits[i] <= 1.5 * mean + 1, seed + ": " + waits[i]);
+            }
+        }
+    }
+
+    /** Fourteen gateways that were refused at one instant: their next calls are spread, and rarer each time. */
+    @Test
+    public void gatewaysThatAreRefusedTogetherDoNotComeBackTogether() {
+        long distinct = IntStream.range(0, 14).mapToLong(seed -> waits(seed, 3)[2]).distinct().count();
+        assertTrue(distinct >= 12, distinct + " of 14");
+        assertNotEquals(waits(1, 5), waits(2, 5));
+        assertEquals(waits(1, 5), waits(1, 5));
+    }
+
+    @Test
+    public void aTryThatComesOffMakesItShortAgain() {
+        GrowingWait wait = new GrowingWait(200, 3200, new SplittableRandom(7));
+        IntStream.range(0, 8).forEach(i -> wait.next());
+        wait.reset();
+        assertTrue(wait.next() <= 300);
+        assertThrows(IllegalArgumentException.class, () -> new GrowingWait(0, 10, new SplittableRandom(7)));
+        assertThrows(IllegalArgumentException.class, () -> new GrowingWait(20, 10, new SplittableRandom(7)));
+    }
+}
--- /dev/null
+++ b/gateway/src/test/java/opalcove/platform/DiscoveryWatchTest.java
@@ -0,0 +1,79 @@
+package opalcove.platform;
+
+import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertTrue;
+
+import io.vertx.core.Vertx;
+import io.vertx.core.http.HttpServer;
+import java.util.List;
+import java.util.Queue;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.ConcurrentLinkedQueue;
+import java.util.concurrent.TimeUnit;
+import java.util.random.RandomGenerator;
+import opalcove.gateway.AppNode;
+import opalcove.gateway.Endpoint;
+import opalcove.gateway.GrowingWait;
+import org.testng.annotations.AfterMethod;
+import org.testng.annotations.BeforeMethod;
+import org.testng.annotations.Test;
+
+/** A list service that is overbooked: what the watch asks, and how long it means to wait before it asks again. */
+public class DiscoveryWatchTest {
+    private static final String NODE = "{\"name\":\"s-1\",\"address\":\"127.0.0.1:1\",\"zone\":\"a\",\"type\":\"m\","
+            + "\"group\":0,\"status\":\"up\",\"weight\":1.0,\"since_ms\":0}";
+
+    private Vertx vertx;
+
+    @BeforeMethod
+    public void open() {
+        vertx = Vertx.vertx();
+    }
+
+    @AfterMethod
+    public void close() throws Exception {
+        vertx.close().toCompletionStage().toCompletableFuture().get(20, TimeUnit.SECONDS);
+    }
+
+    /** Draws the shortest waits there are, so that the test does not last, and tells that it was asked. */
+    private record Shortest(Queue<String> told) implements RandomGenerator {
+        @Override
+        public long nextLong() {
+            told.add("waits");
+            return 0;
+        }
+    }
+
+    @Test
+    public void aRefusedCallIsMadeAgainAfterAGrowingWaitAndAnAnsweredOneAtOnce() throws Exception {
+        Queue<String> told = new ConcurrentLinkedQueue<>();
+        Queue<String> answers = new ConcurrentLinkedQueue<>(List.of("", "", "{torn",
+                "{\"index\":4,\"snapshot\":true,\"endpoints\":[" + NODE + "]}",
+                "{\"index\":5,\"snapshot\":false,\"endpoints\":[" + NODE + "]}", ""));
+        CompletableFuture<Void> over = new CompletableFuture<>();
+        HttpServer server = vertx.createHttpServer().requestHandler(call -> {
+            told.add(call.uri().replaceAll("&.*", ""));
+            String answer = answers.poll();
+            if (answer == null) {
+                over.complete(null);
+            } else {
+                call.response().setStatusCode(answer.isEmpty() ? 503 : 200).end(answer);
+            }
+        });
+        int port = server.listen(0, "127.0.0.1").toCompletionStage().toCompletableFuture()
+                .get(20, TimeUnit.SECONDS).actualPort();
+        GrowingWait waits = new GrowingWait(2, 64, new Shortest(told));
+        Queue<AppNode> nodes = new ConcurrentLinkedQueue<>();
+        CompletableFuture<Void> first = new CompletableFuture<>();
+        vertx.runOnContext(start -> new DiscoveryWatch(vertx, new Endpoint("127.0.0.1", port), 1, waits,
+                (whole, lines) -> nodes.addAll(lines)).start().onSuccess(first::complete));
+        over.get(20, TimeUnit.SECONDS);
+        assertTrue(first.isDone());
+        assertEquals(List.copyOf(told), List.of("/v1/endpoints", "waits", "/v1/endpoints", "waits", "/v1/endpoints",
+                "waits", "/v1/endpoints", "/v1/endpoints?since=4", "/v1/endpoints?since=5", "waits",
+                "/v1/endpoints?since=5"));
+        assertEquals(nodes.size(), 2);
+        // Four waits were drawn; the answers in between had them start from the shortest again.
+        assertEquals(waits.next(), 2);
+    }
+}
--- a/mqtt/src/test/java/opalcove/ExchangeTest.java
+++ b/mqtt/src/test/java/opalcove/ExchangeTest.java
@@ -145,7 +145,7 @@
             switch (words[0]) {
                 case "list" -> list(line.split(" "));
                 case "node" -> node(words[1]).close();
-                case "discovery" -> onLoop(() -> new DiscoveryWatch(vertx, discovery, gateway::nodesTold).start());
+                case "discovery" -> onLoop(() -> new DiscoveryWatch(vertx, discovery, 1, new java.util.SplittableRandom(1), gateway::nodesTold).start());
                 case "phase" -> onLoop(() -> {
                     phases.enter(Phases.Phase.valueOf(words[1]));
                     front.drain(() -> mqttFront.drain(() -> stopped.complete(null)));
