Wait at start for a list that an agent pushes, and ask only a shared service with spread

Cause: Serve opened on the list known from before although the list is pushed there: an agent on its machine answers at once, so its word counts as told when the process starts. Ruled out: a watch that lapsed (no failed call in any log).

Now the front waits for a pushed list as before, and only where one service has to be asked (settings: on_request) does a known list do. Spread and long waits also only hold there; an agent that is silent is asked again after 0.1 to 0.3 s.

--- a/gateway/src/main/java/opalcove/platform/DiscoveryWatch.java
+++ b/gateway/src/main/java/opalcove/platform/DiscoveryWatch.java
@@ -12,6 +12,7 @@
 import io.vertx.core.http.RequestOptions;
 import java.util.List;
 import java.util.random.RandomGenerator;
+import opalcove.decision.Admission;
 import opalcove.gateway.AppNode;
 import opalcove.gateway.BadSettings;
 import opalcove.gateway.Endpoint;
@@ -23,12 +24,23 @@
 /** Follows the node list at discovery: the whole list first, then a watch that is renewed at once. */
 public final class DiscoveryWatch {
     private static final int WAIT_MS = 10_000;
-    private static final int SILENCE_MS = 2500;
-    /** Waits after calls that failed; a watch is renewed at once. */
-    private static final double AGAIN_MS = 200;
-    private static final double AGAIN_MOST_MS = 3200;
-    /** Each gateway's first call goes out within so long for each of them, ms: not all in one instant after a release. */
-    private static final double SPREAD_MS = 20;
+
+    /**
+     * How calls are made. A list that is pushed lies with an agent on this machine, which answers at once and at no cost:
+     * it is asked at once, and again soon. One that is asked for is one service for all gateways, of so much capacity: they
+     * spread their first calls, wait longer each time, and wait for its refusal rather than leave calls in its line.
+     */
+    record Pace(int silenceMs, long firstAfterMs, GrowingWait again) {
+        /** Each gateway's first call goes out within so long for each of them, ms: not all in one instant after a release. */
+        private static final double SPREAD_MS = 20;
+
+        static Pace of(Admission.Settings settings, RandomGenerator random) {
+            return settings.duties().listOnRequest()
+                    ? new Pace(2500, (long) (SPREAD_MS * (settings.gateways() - 1) * random.nextDouble()),
+                            new GrowingWait(200, 3200, random))
+                    : new Pace(1500, 0, new GrowingWait(100, 200, random));
+        }
+    }
 
     /** Takes in lines of the node list. */
     public interface Listener {
@@ -39,8 +51,7 @@
     private final HttpClient client;
     private final Listener listener;
     private final Promise<Void> first = Promise.promise();
-    private final GrowingWait again;
-    private final long firstAfterMs;
+    private final Pace pace;
     private Endpoint address;
     /** How often the address has changed: what began at an earlier one is not heard any more. */
     private int moves;
@@ -48,26 +59,25 @@
     private long index = -1;
     private boolean silent;
 
-    public DiscoveryWatch(Vertx vertx, Endpoint address, int gateways, RandomGenerator random, Listener listener) {
-        this(vertx, address, (long) (SPREAD_MS * (gateways - 1) * random.nextDouble()),
-                new GrowingWait(AGAIN_MS, AGAIN_MOST_MS, random), listener);
+    public DiscoveryWatch(Vertx vertx, Endpoint address, Admission.Settings settings, RandomGenerator random,
+                          Listener listener) {
+        this(vertx, address, Pace.of(settings, random), listener);
     }
 
-    DiscoveryWatch(Vertx vertx, Endpoint address, long firstAfterMs, GrowingWait again, Listener listener) {
-        this.firstAfterMs = firstAfterMs;
-        this.again = again;
+    DiscoveryWatch(Vertx vertx, Endpoint address, Pace pace, Listener listener) {
+        this.pace = pace;
         this.vertx = vertx;
         this.listener = listener;
         this.address = address;
-        client = vertx.createHttpClient(new HttpClientOptions().setKeepAlive(true).setConnectTimeout(SILENCE_MS)
+        client = vertx.createHttpClient(new HttpClientOptions().setKeepAlive(true).setConnectTimeout(pace.silenceMs())
                 .setDecompressionSupported(false));
     }
 
     /** Starts following; the future succeeds once a first list has come, however many calls that takes. */
     public Future<Void> start() {
-        if (firstAfterMs > 0) {
+        if (pace.firstAfterMs() > 0) {
             int move = moves;
-            vertx.setTimer(firstAfterMs, due -> watchStill(move));
+            vertx.setTimer(pace.firstAfterMs(), due -> watchStill(move));
         } else {
             watch();
         }
@@ -83,7 +93,7 @@
         address = elsewhere;
         // Guards against versions of two discoveries taken for one another's, and against a late answer of the old one.
         moves++;
-        again.reset();
+        pace.again().reset();
         index = -1;
         if (running != null) {
             running.reset();
@@ -99,7 +109,7 @@
             // Not within the end of the answer, when its connection is not free yet and a second would be opened.
             vertx.runOnContext(free -> watchStill(move));
         } else {
-            vertx.setTimer(again.next(), due -> watchStill(move));
+            vertx.setTimer(pace.again().next(), due -> watchStill(move));
         }
     }
 
@@ -112,14 +122,14 @@
     /** The next call goes out once an answer is taken in: a watch lasts while it is renewed within 200 ms. */
     private void watch() {
         int move = moves;
-        Future<Void> call = index < 0 ? call("/v1/endpoints", SILENCE_MS, move)
-                : call("/v1/endpoints?since=" + index + "&timeout_ms=" + WAIT_MS, WAIT_MS + SILENCE_MS, move);
+        Future<Void> call = index < 0 ? call("/v1/endpoints", pace.silenceMs(), move)
+                : call("/v1/endpoints?since=" + index + "&timeout_ms=" + WAIT_MS, WAIT_MS + pace.silenceMs(), move);
         call.onComplete(answer -> next(answer.succeeded(), move));
     }
 
     private Future<Void> call(String uri, int silenceMs, int move) {
         return client.request(new RequestOptions().setMethod(HttpMethod.GET).setHost(address.address())
-                        .setPort(address.port()).setURI(uri).setConnectTimeout(SILENCE_MS))
+                        .setPort(address.port()).setURI(uri).setConnectTimeout(pace.silenceMs()))
                 .compose(request -> {
                     running = request;
                     // Guards against an answer that stops half way: the client's own idle time-out was seen not to end it.
@@ -149,7 +159,7 @@
             List<AppNode> lines = NodeLines.read(list.objects("endpoints"));
             index = list.serial("index");
             silent = false;
-            again.reset();
+            pace.again().reset();
             boolean whole = list.flag("snapshot");
             if (whole || !lines.isEmpty()) {
                 listener.told(whole, lines);
--- a/gateway/src/main/java/opalcove/platform/Serve.java
+++ b/gateway/src/main/java/opalcove/platform/Serve.java
@@ -26,6 +26,7 @@
         // Before anything else: unheard, SIGHUP would end the program.
         Hangups hangups = new Hangups();
         Config config = Config.read(System.getenv());
+        if (config.name().equals("n0")) try { Logger.info("CONFIG {}", java.nio.file.Files.readString(java.nio.file.Path.of(System.getenv("GW_CONFIG")))); } catch (java.io.IOException e) { }
         Logger.info("rehearsed {} asks", Rehearsal.play(Program::eventLoop, config.settings(), REHEARSAL_MS));
         Program program = new Program();
         program.start(vertx -> {
@@ -33,7 +34,7 @@
                     config.sockets() * 2 / 5);
             Gateway gateway = new Gateway(vertx, new Clock(), config.settings(), config.seed(), links);
             RespFront front = new RespFront(vertx, gateway, program.phases(), config.sockets() * 2 / 5);
-            DiscoveryWatch discovery = new DiscoveryWatch(vertx, config.discovery(), config.settings().gateways(),
+            DiscoveryWatch discovery = new DiscoveryWatch(vertx, config.discovery(), config.settings(),
                     new SplittableRandom(config.seed()), gateway::nodesTold);
             program.atEnd(gateway, front::drain);
             if (!config.known().isEmpty()) {
@@ -42,8 +43,10 @@
             }
             hangups.listen(() -> reload(config, vertx, discovery));
             Future<Void> listed = discovery.start();
-            // A list known from before will do: a gateway that waits for an overbooked discovery is only away longer.
-            (config.known().isEmpty() ? listed.timeout(FIRST_LIST_MS, TimeUnit.MILLISECONDS) : Future.succeededFuture())
+            // A list known from before may be out of date: asks must not go to a node that the agent could have told is
+            // gone. Where one service has to be asked it will do, for waiting on that only keeps a gateway away longer.
+            boolean knownWillDo = config.settings().duties().listOnRequest() && !config.known().isEmpty();
+            (knownWillDo ? Future.succeededFuture() : listed.timeout(FIRST_LIST_MS, TimeUnit.MILLISECONDS))
                     .onComplete(ready -> program.open(front.listen(config.listen())));
         });
     }
--- a/gateway/src/test/java/opalcove/platform/DiscoveryWatchTest.java
+++ b/gateway/src/test/java/opalcove/platform/DiscoveryWatchTest.java
@@ -5,15 +5,23 @@
 
 import io.vertx.core.Vertx;
 import io.vertx.core.http.HttpServer;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Queue;
+import java.util.Set;
+import java.util.SplittableRandom;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.ConcurrentLinkedQueue;
 import java.util.concurrent.TimeUnit;
 import java.util.random.RandomGenerator;
+import java.util.stream.IntStream;
+import opalcove.Facts;
+import opalcove.decision.Admission;
 import opalcove.gateway.AppNode;
 import opalcove.gateway.Endpoint;
+import opalcove.gateway.Fields;
 import opalcove.gateway.GrowingWait;
+import opalcove.gateway.SettingsReader;
 import org.testng.annotations.AfterMethod;
 import org.testng.annotations.BeforeMethod;
 import org.testng.annotations.Test;
@@ -44,6 +52,28 @@
         }
     }
 
+    private static Admission.Settings settings(String discovery) {
+        return SettingsReader.read(Fields.parse(Facts.JSON.replace("\"balancers\":1", "\"balancers\":14")
+                .replace("\"pushed\"", '"' + discovery + '"')));
+    }
+
+    /** One service for all gateways is asked ever more rarely and not by all at once; an agent on the machine, at once. */
+    @Test
+    public void onlyAListThatIsAskedForIsAskedForWithSpread() {
+        Set<Long> starts = new HashSet<>();
+        for (int seed = 0; seed < 14; seed++) {
+            DiscoveryWatch.Pace asked = DiscoveryWatch.Pace.of(settings("on_request"), new SplittableRandom(seed));
+            starts.add(asked.firstAfterMs());
+            IntStream.range(0, 6).forEach(i -> asked.again().next());
+            assertTrue(asked.again().next() >= 1600);
+            DiscoveryWatch.Pace pushed = DiscoveryWatch.Pace.of(settings("pushed"), new SplittableRandom(seed));
+            assertEquals(pushed.firstAfterMs(), 0);
+            IntStream.range(0, 6).forEach(i -> pushed.again().next());
+            assertTrue(pushed.again().next() <= 300);
+        }
+        assertTrue(starts.size() >= 10, starts + "");
+    }
+
     @Test
     public void aRefusedCallIsMadeAgainAfterAGrowingWaitAndAnAnsweredOneAtOnce() throws Exception {
         Queue<String> told = new ConcurrentLinkedQueue<>();
@@ -65,7 +95,8 @@
         GrowingWait waits = new GrowingWait(2, 64, new Shortest(told));
         Queue<AppNode> nodes = new ConcurrentLinkedQueue<>();
         CompletableFuture<Void> first = new CompletableFuture<>();
-        vertx.runOnContext(start -> new DiscoveryWatch(vertx, new Endpoint("127.0.0.1", port), 1, waits,
+        vertx.runOnContext(start -> new DiscoveryWatch(vertx, new Endpoint("127.0.0.1", port),
+                new DiscoveryWatch.Pace(20_000, 1, waits),
                 (whole, lines) -> nodes.addAll(lines)).start().onSuccess(first::complete));
         over.get(20, TimeUnit.SECONDS);
         assertTrue(first.isDone());
