Use starting nodes from their first second on, also where each gateway meets them seldom

Each gateway's pace a node is a fourteenth here; all 14 saved up a whole ask each, the second 'owed' in chill() at that. Once saved it went unused: choose() put a starting node behind any warm one that looked idle to this gateway alone.

At fault: Policy.chill, Policy.choose. Now a budget begins with a drawn part of an ask, so that the sum over gateways is right from the start; a node that has an ask saved goes first; the last resort, which lent, has gone.

The test of 14 gateways fails without it (nothing in six seconds).

--- a/decision/src/main/java/opalcove/decision/Policy.java
+++ b/decision/src/main/java/opalcove/decision/Policy.java
@@ -514,11 +514,8 @@
         }
 
         Customer customer(Request r, int plan) {
-            Customer c = customers.get(r.customer());
-            if (c == null) {
-                c = new Customer(settings.plans().get(plan), plan, r.gateways(), now);
-                customers.put(r.customer(), c);
-            }
+            Customer c = customers.computeIfAbsent(r.customer(),
+                    fresh -> new Customer(settings.plans().get(plan), plan, r.gateways(), now));
             if (c.span <= 0) fade(c, 1);
             return c;
         }
@@ -850,6 +847,8 @@
 
     /** The hosts: the list, the choice, health and cold starts. */
     private final class Hosts {
+        /** Part of the largest work that a cold host must have saved: that work may grow between ticks. */
+        static final double NEAR = 0.9;
         private final Map<String, Machine> machines = new LinkedHashMap<>();
         private boolean first = true;
         private double pace, doneWork, sends, visits;
@@ -893,7 +892,9 @@
 
         private void chill(Machine m, double since) {
             m.coldSince = since;
-            m.budget = -chance() * largest(); // many gateways must not start in step
+            // Guards against many gateways starting in step, or each saving up a whole request first: nothing
+            // would reach a starting host for seconds, then all at once.
+            m.budget = chance() * NEAR * largest();
             m.slowness = 1;
             m.fails = 0;
             m.shunUntil = 0;
@@ -983,26 +984,24 @@
 
         /** The host with the least expected wait among those that may have this request. */
         Machine choose(Flight f) {
-            Machine best = null, last = null;
-            double least = 0;
+            Machine best = null;
+            double least = 0, whole = NEAR * largest();
             for (Machine m : machines.values()) {
                 if (!m.listed || !f.mayGoTo(m) || f.out > 0 && f.tried(m)) continue;
                 boolean cold = cold(m);
                 double cost = expected(m, f.cls) * (f.tried(m) ? 4 : 1) * (1 + 0.05 * chance());
                 cost *= m.host.zone().equals(settings.zone()) ? 1 : 1 + 10 * settings.prices().crossZone();
                 if (now < m.shunUntil) continue;
-                if (cold ? m.budget < usual[f.cls] : m.fails > 1 && m.out > 0) {
-                    if (cold && m.out == 0 && m.budget >= (last == null ? 0 : last.budget)) last = m;
-                    continue;
-                }
+                if (cold ? m.budget < whole : m.fails > 1 && m.out > 0) continue;
                 cost *= 1 + (connected(m) ? 4 : 20) * (faults(m.zone) + faults(m.kind));
-                if (cold) cost /= coldShare(m);
+                // Its budget bounds a cold host; warm ones may look idle here while others load them.
+                if (cold) cost /= 2 * Math.sqrt(coldShare(m));
                 if (best == null || cost < least) {
                     best = m;
                     least = cost;
                 }
             }
-            return best != null ? best : last;
+            return best;
         }
 
         void sent(Machine m, Flight f) {
--- a/decision/src/test/java/opalcove/decision/PolicyTest.java
+++ b/decision/src/test/java/opalcove/decision/PolicyTest.java
@@ -9,7 +9,9 @@
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.ArrayList;
+import java.util.Arrays;
 import java.util.List;
+import java.util.stream.IntStream;
 import org.junit.jupiter.api.Test;
 
 class PolicyTest {
@@ -770,6 +772,43 @@
         assertEquals(0, sent, "a hundred gateways' first sends at once push a cold host over");
     }
 
+    /** Fourteen gateways, each of which meets a host seldom: together they use a starting one from the first second on. */
+    @Test
+    void manyGatewaysUseAStartingHostAtItsShareFromTheStart() {
+        int[] cold = new int[6];
+        int[] warm = new int[6];
+        for (int g = 0; g < 14; g++) {
+            World each = new World();
+            each.policy = new Policy(0, settings(each.limits, 14, List.of(SAFE, KEYED, UNSAFE), List.of(PLAIN, CAPPED, OPEN)),
+                    g, each);
+            each.list(true, IntStream.range(0, 10).mapToObj(i -> up("h" + i)).toArray(Admission.Host[]::new));
+            List<String> due = new ArrayList<>();
+            for (int t = 0; t < 9000; t += 50) {
+                each.until(t);
+                if (t == 3000) {
+                    each.list(false, host("new", "east", Admission.State.UP, t));
+                }
+                int from = each.sends.size();
+                each.policy.request(t, new Admission.Request("s" + t, "look", "open", "c" + t, 1, 4000, 14, false));
+                due.addAll(each.sends.subList(from, each.sends.size()));
+                if (due.size() > 2) {
+                    String[] s = due.remove(0).split("@");
+                    each.policy.outcome(t, new Admission.Outcome(s[0], s[1], 0, Admission.Result.SERVED, 200, true, -1, 0,
+                            null));
+                }
+                int second = (t - 3000) / 1000;
+                for (String s : t < 3000 ? List.<String>of() : each.sends.subList(from, each.sends.size())) {
+                    (s.endsWith("@new") ? cold : warm)[second]++;
+                }
+            }
+        }
+        // In each second something, and in all no more than its share of what a warm host gets.
+        for (int second = 0; second < 6; second++) {
+            assertTrue(cold[second] > 0, "nothing in second " + second + ": " + Arrays.toString(cold));
+            assertTrue(cold[second] <= warm[second] / 10, Arrays.toString(cold) + " beside " + Arrays.toString(warm));
+        }
+    }
+
     @Test
     void aHostWhoseAttemptsAreCalledOffIsLeftAlone() {
         world.start(world.limits, 2);
