Learn the size of an ask from the first ones, and look for the largest work once a tick

Cause: what an unseen operator's other gateways are asked starts with one usual ask, and Split.meanUnits called that one unit for minutes (1, then 2% an ask), while asks are of 4: an ask of usual size looked like four.

--- a/decision/src/main/java/opalcove/decision/Policy.java
+++ b/decision/src/main/java/opalcove/decision/Policy.java
@@ -268,7 +268,7 @@
         f.out++;
         split.out++;
         split.peak = Math.max(split.peak, split.out);
-        split.meanUnits += 0.02 * (f.request.units() - split.meanUnits);
+        split.meanUnits += Math.max(0.02, 1 / ++split.sized) * (f.request.units() - split.meanUnits);
         f.customer.open++;
         hosts.sent(m, f);
         actions.send(f.request.id(), m.host.id(), 0);
@@ -514,8 +514,11 @@
         }
 
         Customer customer(Request r, int plan) {
-            Customer c = customers.computeIfAbsent(r.customer(),
-                    fresh -> new Customer(settings.plans().get(plan), plan, r.gateways(), now));
+            Customer c = customers.get(r.customer());
+            if (c == null) {
+                c = new Customer(settings.plans().get(plan), plan, r.gateways(), now);
+                customers.put(r.customer(), c);
+            }
             if (c.span <= 0) fade(c, 1);
             return c;
         }
@@ -678,7 +681,7 @@
         final Lane[] order;
         private final Lane[][] lanes;
         private double served, servedRate, answers, signs, ratios, spare, news, usualNews;
-        private double calmSince = now, shortestAim = Double.MAX_VALUE, meanUnits = 1;
+        private double calmSince = now, shortestAim = Double.MAX_VALUE, meanUnits = 1, sized = 1;
         /** Guards against thin evidence: what an interval weighs, less where few answers come. */
         private double weight = 1;
         private double proven, peak;
@@ -847,11 +850,9 @@
 
     /** The hosts: the list, the choice, health and cold starts. */
     private final class Hosts {
-        /** Part of the largest work that a cold host must have saved: that work may grow between ticks. */
-        static final double NEAR = 0.9;
         private final Map<String, Machine> machines = new LinkedHashMap<>();
         private boolean first = true;
-        private double pace, doneWork, sends, visits;
+        private double pace, doneWork, sends, visits, whole = largest();
         /** How fast marks fade: slower where a gateway comes back to a host seldom, or none would be used. */
         private double memory = 1;
         /** Guards against hosts failing together (a zone cut, a kind restarting): parts failed by group. */
@@ -892,9 +893,8 @@
 
         private void chill(Machine m, double since) {
             m.coldSince = since;
-            // Guards against many gateways starting in step, or each saving up a whole request first: nothing
-            // would reach a starting host for seconds, then all at once.
-            m.budget = chance() * NEAR * largest();
+            // Guards against gateways in step, and against each saving up a whole request before any sends.
+            m.budget = chance() * whole;
             m.slowness = 1;
             m.fails = 0;
             m.shunUntil = 0;
@@ -927,6 +927,7 @@
             }
             pace += 0.05 * (doneWork / INTERVAL_MS / Math.max(1, warm) - pace);
             doneWork = 0;
+            whole = largest();
             visits += 0.1 * (sends - visits);
             sends = 0;
             memory = Math.max(0.2, Math.min(1, 20 * visits / Math.max(1, usable)));
@@ -939,7 +940,7 @@
                 if (cold(m)) {
                     double margin = Math.min(0.9, 0.45 * settings.duties().overloadFactor());
                     double rate = coldShare(m) * pace * margin;
-                    double depth = Math.max(largest(), rate * 1000);
+                    double depth = Math.max(whole, rate * 1000);
                     m.budget = Math.min(depth, m.budget + rate * INTERVAL_MS);
                 }
                 if (m.listed && m.fails > 1 && settings.limits().mayProbe() && now >= m.shunUntil) {
@@ -985,7 +986,7 @@
         /** The host with the least expected wait among those that may have this request. */
         Machine choose(Flight f) {
             Machine best = null;
-            double least = 0, whole = NEAR * largest();
+            double least = 0;
             for (Machine m : machines.values()) {
                 if (!m.listed || !f.mayGoTo(m) || f.out > 0 && f.tried(m)) continue;
                 boolean cold = cold(m);
--- a/decision/src/test/java/opalcove/decision/PolicyTest.java
+++ b/decision/src/test/java/opalcove/decision/PolicyTest.java
@@ -809,6 +809,29 @@
         }
     }
 
+    /** After a release all customers are new: the size of an ask is learnt from the first, not over a minute of refusals. */
+    @Test
+    void aGatewayThatHasJustStartedTakesBigAsksOfCalmCustomers() {
+        int sent = 0;
+        for (int g = 0; g < 14; g++) {
+            World each = new World();
+            each.policy = new Policy(0, settings(each.limits, 14, List.of(SAFE), List.of(
+                    new Admission.Plan("plain", 4, 16, 0, 1, 0, 1, 0, 0, 0))), g, each);
+            each.list(true, up("h1"), up("h2"));
+            for (int i = 0; i < 40; i++) {
+                each.until(i * 100);
+                int from = each.sends.size();
+                each.policy.request(i * 100, new Admission.Request("r" + i, "look", "plain", "c" + i, 5, 4000, 14, false));
+                if (each.sends.size() > from) {
+                    sent++;
+                    each.policy.outcome(i * 100, new Admission.Outcome("r" + i, each.sends.get(from).split("@")[1], 0,
+                            Admission.Result.SERVED, 100, true, -1, 0, null));
+                }
+            }
+        }
+        assertTrue(sent >= 400, "of 560 first asks " + sent);
+    }
+
     @Test
     void aHostWhoseAttemptsAreCalledOffIsLeftAlone() {
         world.start(world.limits, 2);
