--- a/gateway/src/main/java/opalcove/platform/Serve.java
+++ b/gateway/src/main/java/opalcove/platform/Serve.java
@@ -26,7 +26,6 @@
         // Before anything else: unheard, SIGHUP would end the program.
         Hangups hangups = new Hangups();
         Config config = Config.read(System.getenv());
-        if (config.name().equals("n0")) try { Logger.info("CONFIG {}", java.nio.file.Files.readString(java.nio.file.Path.of(System.getenv("GW_CONFIG")))); } catch (java.io.IOException e) { }
         Logger.info("rehearsed {} asks", Rehearsal.play(Program::eventLoop, config.settings(), REHEARSAL_MS));
         Program program = new Program();
         program.start(vertx -> {
