Watch from the version known before a release, and learn the warm nodes' pace at once

Cause: Serve had each ask for the whole list of 60 lines and then, in a second call, for a watch, though its configuration names the version that it knows.

Cause: Hosts.tick learns the pace of warm nodes at 5% a tick from 0, 5 s after a start; a starting node's part is a share of that pace. Now the first ticks weigh as much as there are of them (1, 1/2, ... down to 5%).

Two tests fail without (calls asked for; sends to a starting node by gateways just started: 14 instead of 20 and more). PolicyTest.serve left the answers of its first call out.

--- a/decision/src/main/java/opalcove/decision/Policy.java
+++ b/decision/src/main/java/opalcove/decision/Policy.java
@@ -852,7 +852,7 @@
     private final class Hosts {
         private final Map<String, Machine> machines = new LinkedHashMap<>();
         private boolean first = true;
-        private double pace, doneWork, sends, visits, whole = largest();
+        private double pace, paced, doneWork, sends, visits, whole = largest();
         /** How fast marks fade: slower where a gateway comes back to a host seldom, or none would be used. */
         private double memory = 1;
         /** Guards against hosts failing together (a zone cut, a kind restarting): parts failed by group. */
@@ -925,7 +925,8 @@
                 askAt = now + 4 * INTERVAL_MS;
                 actions.follow();
             }
-            pace += 0.05 * (doneWork / INTERVAL_MS / Math.max(1, warm) - pace);
+            double did = doneWork / INTERVAL_MS / Math.max(1, warm);
+            if (paced > 0 || did > 0) pace += Math.max(0.05, 1 / ++paced) * (did - pace);
             doneWork = 0;
             whole = largest();
             visits += 0.1 * (sends - visits);
@@ -986,7 +987,7 @@
         /** The host with the least expected wait among those that may have this request. */
         Machine choose(Flight f) {
             Machine best = null;
-            double least = 0;
+            double least = Double.MAX_VALUE;
             for (Machine m : machines.values()) {
                 if (!m.listed || !f.mayGoTo(m) || f.out > 0 && f.tried(m)) continue;
                 boolean cold = cold(m);
@@ -997,10 +998,9 @@
                 cost *= 1 + (connected(m) ? 4 : 20) * (faults(m.zone) + faults(m.kind));
                 // Its budget bounds a cold host; warm ones may look idle here while others load them.
                 if (cold) cost /= 2 * Math.sqrt(coldShare(m));
-                if (best == null || cost < least) {
-                    best = m;
-                    least = cost;
-                }
+                if (cost >= least) continue;
+                best = m;
+                least = cost;
             }
             return best;
         }
--- a/decision/src/test/java/opalcove/decision/PolicyTest.java
+++ b/decision/src/test/java/opalcove/decision/PolicyTest.java
@@ -317,15 +317,16 @@
         assertTrue(cold <= 0.3 * (world.sends.size() - from) / 2, "cold sends " + cold);
     }
 
-    /** A request every 10 ms, each answered 50 ms later. */
+    private int served;
+
+    /** A request every 10 ms, each answered 50 ms later, also those that an earlier call has left. */
     private int serve(int from, int to) {
-        int done = world.sends.size();
-        int start = done;
+        int start = world.sends.size();
         for (int t = from; t < to; t += 10) {
             world.until(t);
             world.policy.request(t, new Admission.Request("s" + t, "look", "open", "c" + t, 1, 4000, 1, false));
-            while (done < world.sends.size() - 5) {
-                String[] s = world.sends.get(done++).split("@");
+            while (served < world.sends.size() - 5) {
+                String[] s = world.sends.get(served++).split("@");
                 world.ends(s[0], s[1], 0, Admission.Result.SERVED);
             }
         }
@@ -775,6 +776,26 @@
     /** Fourteen gateways, each of which meets a host seldom: together they use a starting one from the first second on. */
     @Test
     void manyGatewaysUseAStartingHostAtItsShareFromTheStart() {
+        int[][] sent = startingHostAt(3000);
+        // In each second something, and no more than its share of what a warm host gets.
+        for (int second = 0; second < 6; second++) {
+            assertTrue(sent[0][second] > 0, "nothing in second " + second + ": " + Arrays.toString(sent[0]));
+            assertTrue(sent[0][second] <= sent[1][second] / 10, Arrays.toString(sent[0]) + " beside "
+                    + Arrays.toString(sent[1]));
+        }
+    }
+
+    /** Gateways that have just come back themselves learn what warm hosts are given from the first answers on. */
+    @Test
+    void gatewaysThatHaveJustStartedUseAStartingHostToo() {
+        int[][] sent = startingHostAt(500);
+        int cold = Arrays.stream(sent[0]).limit(4).sum();
+        assertTrue(cold >= 20, "in four seconds " + cold + ", warm hosts " + Arrays.toString(sent[1]));
+        assertTrue(cold <= Arrays.stream(sent[1]).limit(4).sum() / 10, Arrays.toString(sent[0]));
+    }
+
+    /** What 14 gateways send to a host that starts at that time, and to ten warm ones, in each second from then on. */
+    private int[][] startingHostAt(int start) {
         int[] cold = new int[6];
         int[] warm = new int[6];
         for (int g = 0; g < 14; g++) {
@@ -783,9 +804,9 @@
                     g, each);
             each.list(true, IntStream.range(0, 10).mapToObj(i -> up("h" + i)).toArray(Admission.Host[]::new));
             List<String> due = new ArrayList<>();
-            for (int t = 0; t < 9000; t += 50) {
+            for (int t = 0; t < start + 6000; t += 50) {
                 each.until(t);
-                if (t == 3000) {
+                if (t == start) {
                     each.list(false, host("new", "east", Admission.State.UP, t));
                 }
                 int from = each.sends.size();
@@ -796,17 +817,13 @@
                     each.policy.outcome(t, new Admission.Outcome(s[0], s[1], 0, Admission.Result.SERVED, 200, true, -1, 0,
                             null));
                 }
-                int second = (t - 3000) / 1000;
-                for (String s : t < 3000 ? List.<String>of() : each.sends.subList(from, each.sends.size())) {
+                int second = (t - start) / 1000;
+                for (String s : t < start ? List.<String>of() : each.sends.subList(from, each.sends.size())) {
                     (s.endsWith("@new") ? cold : warm)[second]++;
                 }
             }
         }
-        // In each second something, and in all no more than its share of what a warm host gets.
-        for (int second = 0; second < 6; second++) {
-            assertTrue(cold[second] > 0, "nothing in second " + second + ": " + Arrays.toString(cold));
-            assertTrue(cold[second] <= warm[second] / 10, Arrays.toString(cold) + " beside " + Arrays.toString(warm));
-        }
+        return new int[][] {cold, warm};
     }
 
     /** After a release all customers are new: the size of an ask is learnt from the first, not over a minute of refusals. */
--- a/gateway/src/main/java/opalcove/platform/DiscoveryWatch.java
+++ b/gateway/src/main/java/opalcove/platform/DiscoveryWatch.java
@@ -73,8 +73,17 @@
                 .setDecompressionSupported(false));
     }
 
-    /** Starts following; the future succeeds once a first list has come, however many calls that takes. */
+    /** Starts following with the whole list; the future succeeds once that has come, however many calls it takes. */
     public Future<Void> start() {
+        return startFrom(-1);
+    }
+
+    /**
+     * Starts following with what changed since a version that is known. Guards a shared service after a release: each
+     * gateway asks it for one watch, not for the whole list and then for a watch.
+     */
+    public Future<Void> startFrom(long known) {
+        index = known;
         if (pace.firstAfterMs() > 0) {
             int move = moves;
             vertx.setTimer(pace.firstAfterMs(), due -> watchStill(move));
--- a/gateway/src/main/java/opalcove/platform/Serve.java
+++ b/gateway/src/main/java/opalcove/platform/Serve.java
@@ -41,10 +41,10 @@
                 gateway.nodesTold(true, config.known());
             }
             hangups.listen(() -> reload(config, vertx, discovery));
-            Future<Void> listed = discovery.start();
             // A list known from before may be out of date: asks must not go to a node that the agent could have told is
             // gone. Where one service has to be asked it will do, for waiting on that only keeps a gateway away longer.
             boolean knownWillDo = config.settings().duties().listOnRequest() && !config.known().isEmpty();
+            Future<Void> listed = knownWillDo ? discovery.startFrom(config.knownIndex()) : discovery.start();
             (knownWillDo ? Future.succeededFuture() : listed.timeout(FIRST_LIST_MS, TimeUnit.MILLISECONDS))
                     .onComplete(ready -> program.open(front.listen(config.listen())));
         });
--- a/gateway/src/test/java/opalcove/platform/DiscoveryWatchTest.java
+++ b/gateway/src/test/java/opalcove/platform/DiscoveryWatchTest.java
@@ -76,6 +76,21 @@
 
     @Test
     public void aRefusedCallIsMadeAgainAfterAGrowingWaitAndAnAnsweredOneAtOnce() throws Exception {
+        assertEquals(calls(-1), List.of("/v1/endpoints", "waits", "/v1/endpoints", "waits", "/v1/endpoints",
+                "waits", "/v1/endpoints", "/v1/endpoints?since=4", "/v1/endpoints?since=5", "waits",
+                "/v1/endpoints?since=5"));
+    }
+
+    /** After a release: a gateway that knows a version asks for one watch, and never for the whole list. */
+    @Test
+    public void whoKnowsAVersionAsksForWhatHasChangedSince() throws Exception {
+        assertEquals(calls(3), List.of("/v1/endpoints?since=3", "waits", "/v1/endpoints?since=3", "waits",
+                "/v1/endpoints?since=3", "waits", "/v1/endpoints?since=3", "/v1/endpoints?since=4",
+                "/v1/endpoints?since=5", "waits", "/v1/endpoints?since=5"));
+    }
+
+    /** What a watch asks that starts from this version, and when it waits, at a service that refuses now and then. */
+    private List<String> calls(long known) throws Exception {
         Queue<String> told = new ConcurrentLinkedQueue<>();
         Queue<String> answers = new ConcurrentLinkedQueue<>(List.of("", "", "{torn",
                 "{\"index\":4,\"snapshot\":true,\"endpoints\":[" + NODE + "]}",
@@ -97,14 +112,13 @@
         CompletableFuture<Void> first = new CompletableFuture<>();
         vertx.runOnContext(start -> new DiscoveryWatch(vertx, new Endpoint("127.0.0.1", port),
                 new DiscoveryWatch.Pace(20_000, 1, waits),
-                (whole, lines) -> nodes.addAll(lines)).start().onSuccess(first::complete));
+                (whole, lines) -> nodes.addAll(lines)).startFrom(known).onSuccess(first::complete));
         over.get(20, TimeUnit.SECONDS);
         assertTrue(first.isDone());
-        assertEquals(List.copyOf(told), List.of("/v1/endpoints", "waits", "/v1/endpoints", "waits", "/v1/endpoints",
-                "waits", "/v1/endpoints", "/v1/endpoints?since=4", "/v1/endpoints?since=5", "waits",
-                "/v1/endpoints?since=5"));
         assertEquals(nodes.size(), 2);
         // Four waits were drawn; the answers in between had them start from the shortest again.
+        List<String> calls = List.copyOf(told);
         assertEquals(waits.next(), 2);
+        return calls;
     }
 }
