Have one name for the version of no list, and no rehearsal that may be null

Cause: read again, the change had -1 and Config.NO_INDEX for one thing, a nullable rehearsal with an alias for the lambda in Rehearsal.play, settings parsed 28 times in a test, and the set-up of many gateways written twice in PolicyTest. Change: DiscoveryWatch.NO_INDEX alone; the rehearsal is made first and takes its event loop when it opens; World.of. Behaviour is the same and no assertion is changed.

--- a/decision/src/test/java/opalcove/decision/PolicyTest.java
+++ b/decision/src/test/java/opalcove/decision/PolicyTest.java
@@ -40,9 +40,20 @@
         Policy policy;
         double now;
 
+        /** One of so many gateways, with a seed of its own. */
+        static World of(int gateways, long seed) {
+            World world = new World();
+            world.start(world.limits, gateways, seed);
+            return world;
+        }
+
         void start(Admission.Limits limits, int gateways) {
+            start(limits, gateways, 7);
+        }
+
+        private void start(Admission.Limits limits, int gateways, long seed) {
             policy = new Policy(now, settings(limits, gateways, List.of(SAFE, KEYED, UNSAFE),
-                    List.of(PLAIN, CAPPED, OPEN)), 7, this);
+                    List.of(PLAIN, CAPPED, OPEN)), seed, this);
         }
 
         void list(boolean whole, Admission.Host... lines) {
@@ -763,9 +774,7 @@
     void gatewaysDoNotStartInStepOnAColdHost() {
         int sent = 0;
         for (int g = 0; g < 100; g++) {
-            World each = new World();
-            each.policy = new Policy(0, settings(each.limits, 100, List.of(SAFE, KEYED, UNSAFE), List.of(PLAIN, CAPPED, OPEN)),
-                    g, each);
+            World each = World.of(100, g);
             each.list(true, new Admission.Host("h1", "east", "", 0, Admission.State.UP, 1, 0.5));
             each.ask("r", "look", "open", 4000);
             sent += each.sends.size();
@@ -799,9 +808,7 @@
         int[] cold = new int[6];
         int[] warm = new int[6];
         for (int g = 0; g < 14; g++) {
-            World each = new World();
-            each.policy = new Policy(0, settings(each.limits, 14, List.of(SAFE, KEYED, UNSAFE), List.of(PLAIN, CAPPED, OPEN)),
-                    g, each);
+            World each = World.of(14, g);
             each.list(true, IntStream.range(0, 10).mapToObj(i -> up("h" + i)).toArray(Admission.Host[]::new));
             List<String> due = new ArrayList<>();
             for (int t = 0; t < start + 6000; t += 50) {
--- a/gateway/src/main/java/opalcove/platform/Config.java
+++ b/gateway/src/main/java/opalcove/platform/Config.java
@@ -16,9 +16,6 @@
 /** What the platform tells a gateway at its start. */
 public record Config(String name, Endpoint listen, Endpoint discovery, long seed, int sockets,
                      List<AppNode> known, long knownIndex, Admission.Settings settings) {
-    /** Where the list known from before has no version. */
-    public static final long NO_INDEX = -1;
-
     /**
      * Reads the file that GW_CONFIG names. The other variables go before what it says, but for discovery: they are as
      * old as the process, and the file may have been replaced under it.
@@ -44,7 +41,8 @@
         int sockets = f.has("limits") ? f.object("limits").wholeOr("sockets", 1024) : 1024;
         return new Config(environment.getOrDefault("GW_NAME", f.textOr("name", "")), listen, discovery, seed(f),
                 sockets, f.has("known") ? NodeLines.read(f.object("known").objects("endpoints")) : List.of(),
-                f.has("known") && f.object("known").has("index") ? f.object("known").serial("index") : NO_INDEX,
+                f.has("known") && f.object("known").has("index") ? f.object("known").serial("index")
+                        : DiscoveryWatch.NO_INDEX,
                 SettingsReader.checked(f.object("settings")));
     }
 
--- a/gateway/src/main/java/opalcove/platform/DiscoveryWatch.java
+++ b/gateway/src/main/java/opalcove/platform/DiscoveryWatch.java
@@ -23,6 +23,8 @@
 
 /** Follows the node list at discovery: the whole list first, then a watch that is renewed at once. */
 public final class DiscoveryWatch {
+    /** The version of no list: the whole one is asked for. */
+    static final long NO_INDEX = -1;
     private static final int WAIT_MS = 10_000;
 
     /**
@@ -56,7 +58,7 @@
     /** How often the address has changed: what began at an earlier one is not heard any more. */
     private int moves;
     private HttpClientRequest running;
-    private long index = -1;
+    private long index = NO_INDEX;
     private boolean silent;
 
     public DiscoveryWatch(Vertx vertx, Endpoint address, Admission.Settings settings, RandomGenerator random,
@@ -75,7 +77,7 @@
 
     /** Starts following with the whole list; the future succeeds once that has come, however many calls it takes. */
     public Future<Void> start() {
-        return startFrom(-1);
+        return startFrom(NO_INDEX);
     }
 
     /**
@@ -103,7 +105,7 @@
         // Guards against versions of two discoveries taken for one another's, and against a late answer of the old one.
         moves++;
         pace.again().reset();
-        index = -1;
+        index = NO_INDEX;
         if (running != null) {
             running.reset();
         }
--- a/gateway/src/main/java/opalcove/platform/Rehearsal.java
+++ b/gateway/src/main/java/opalcove/platform/Rehearsal.java
@@ -45,24 +45,22 @@
     private static final int NODES = 3;
     private static final int MOST_LINKS = 64;
 
-    private final Vertx vertx;
     private final Admission.Settings settings;
     private final Promise<Void> played = Promise.promise();
     private int sent;
     private volatile int answered;
     private volatile int most = ASKS;
 
-    private Rehearsal(Vertx vertx, Admission.Settings settings) {
-        this.vertx = vertx;
+    private Rehearsal(Admission.Settings settings) {
         this.settings = settings;
     }
 
     /**
-     * Plays for so long at most and then closes the Vert.x instance, made only if there is a play; a failure costs nothing but time.
-     * Gives the number of asks that were answered.
+     * Plays for so long at most and then closes the Vert.x instance, made only if there is a play; a failure costs nothing
+     * but time. Gives the number of asks that were answered.
      */
     public static int play(Supplier<Vertx> loop, Admission.Settings settings, long mostMs) {
-        Rehearsal rehearsal = null;
+        Rehearsal rehearsal = new Rehearsal(settings);
         try {
             Path folder = Files.createTempDirectory("rehearsal");
             Path node = folder.resolve("node");
@@ -73,11 +71,11 @@
                 return 0;
             }
             Vertx vertx = loop.get();
-            Rehearsal playing = rehearsal = new Rehearsal(vertx, settings);
             try {
-                vertx.runOnContext(start -> playing.open(SocketAddress.domainSocketAddress(node.toString()),
-                        SocketAddress.domainSocketAddress(front.toString())).onFailure(playing.played::tryFail));
-                playing.end(mostMs);
+                vertx.runOnContext(start -> rehearsal.open(vertx,
+                        SocketAddress.domainSocketAddress(node.toString()),
+                        SocketAddress.domainSocketAddress(front.toString())).onFailure(rehearsal.played::tryFail));
+                rehearsal.end(mostMs);
             } finally {
                 vertx.close().toCompletionStage().toCompletableFuture().get(mostMs, TimeUnit.MILLISECONDS);
                 for (Path each : List.of(node, front, folder)) {
@@ -91,7 +89,7 @@
         } catch (InterruptedException e) {
             Thread.currentThread().interrupt();
         }
-        return rehearsal == null ? 0 : rehearsal.answered;
+        return rehearsal.answered;
     }
 
     /**
@@ -127,7 +125,7 @@
         }
     }
 
-    private Future<?> open(SocketAddress node, SocketAddress at) {
+    private Future<?> open(Vertx vertx, SocketAddress node, SocketAddress at) {
         LinkPool links = new LinkPool(vertx, settings, new RespDialler(vertx, settings, address -> node), MOST_LINKS);
         Gateway gateway = new Gateway(vertx, new Clock(), settings, 1, links);
         List<AppNode> nodes = new ArrayList<>();
--- a/gateway/src/test/java/opalcove/platform/DiscoveryWatchTest.java
+++ b/gateway/src/test/java/opalcove/platform/DiscoveryWatchTest.java
@@ -60,13 +60,15 @@
     /** One service for all gateways is asked ever more rarely and not by all at once; an agent on the machine, at once. */
     @Test
     public void onlyAListThatIsAskedForIsAskedForWithSpread() {
+        Admission.Settings one = settings("on_request");
+        Admission.Settings agent = settings("pushed");
         Set<Long> starts = new HashSet<>();
         for (int seed = 0; seed < 14; seed++) {
-            DiscoveryWatch.Pace asked = DiscoveryWatch.Pace.of(settings("on_request"), new SplittableRandom(seed));
+            DiscoveryWatch.Pace asked = DiscoveryWatch.Pace.of(one, new SplittableRandom(seed));
             starts.add(asked.firstAfterMs());
             IntStream.range(0, 6).forEach(i -> asked.again().next());
             assertTrue(asked.again().next() >= 1600);
-            DiscoveryWatch.Pace pushed = DiscoveryWatch.Pace.of(settings("pushed"), new SplittableRandom(seed));
+            DiscoveryWatch.Pace pushed = DiscoveryWatch.Pace.of(agent, new SplittableRandom(seed));
             assertEquals(pushed.firstAfterMs(), 0);
             IntStream.range(0, 6).forEach(i -> pushed.again().next());
             assertTrue(pushed.again().next() <= 300);
@@ -76,8 +78,8 @@
 
     @Test
     public void aRefusedCallIsMadeAgainAfterAGrowingWaitAndAnAnsweredOneAtOnce() throws Exception {
-        assertEquals(calls(-1), List.of("/v1/endpoints", "waits", "/v1/endpoints", "waits", "/v1/endpoints",
-                "waits", "/v1/endpoints", "/v1/endpoints?since=4", "/v1/endpoints?since=5", "waits",
+        assertEquals(calls(DiscoveryWatch.NO_INDEX), List.of("/v1/endpoints", "waits", "/v1/endpoints",
+                "waits", "/v1/endpoints", "waits", "/v1/endpoints", "/v1/endpoints?since=4", "/v1/endpoints?since=5", "waits",
                 "/v1/endpoints?since=5"));
     }
 
--- a/mqtt/src/test/java/opalcove/ExchangeTest.java
+++ b/mqtt/src/test/java/opalcove/ExchangeTest.java
@@ -20,10 +20,10 @@
 import java.util.List;
 import java.util.Locale;
 import java.util.Map;
+import java.util.SplittableRandom;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.SynchronousQueue;
 import java.util.concurrent.TimeUnit;
-import java.util.SplittableRandom;
 import java.util.regex.Matcher;
 import java.util.regex.Pattern;
 import java.util.stream.Stream;
@@ -146,8 +146,8 @@
             switch (words[0]) {
                 case "list" -> list(line.split(" "));
                 case "node" -> node(words[1]).close();
-                case "discovery" -> onLoop(() -> new DiscoveryWatch(vertx, discovery, Facts.settings(), new SplittableRandom(1),
-                        gateway::nodesTold).start());
+                case "discovery" -> onLoop(() -> new DiscoveryWatch(vertx, discovery, Facts.settings(),
+                        new SplittableRandom(1), gateway::nodesTold).start());
                 case "phase" -> onLoop(() -> {
                     phases.enter(Phases.Phase.valueOf(words[1]));
                     front.drain(() -> mqttFront.drain(() -> stopped.complete(null)));
