Open an operators' door with READY, STATS, DRAIN and UNDRAIN, and share the client port

Not taken: answering on the gateway's event loop, which under load answers late, and a thread a caller, which idle callers can exhaust. DRAIN makes PING on the client port say -ERR draining and closes each connection once it owes nothing; UNDRAIN undoes it. The client port is opened with SO_REUSEPORT, set through the transport since Vert.x sets it only for native transports.

Tests: ConsoleTest, ReusePortTest.

--- a/gateway/src/main/java/opalcove/gateway/Gateway.java
+++ b/gateway/src/main/java/opalcove/gateway/Gateway.java
@@ -34,6 +34,7 @@
     private final NodeList nodes = new NodeList();
     private final Guards guards;
     private final Counters counters = new Counters();
+    private final Metrics metrics = new Metrics();
     private final AskRules rules;
     private final Map<String, Life> lives = new HashMap<>();
     private final ArrayDeque<Runnable> turns = new ArrayDeque<>();
@@ -76,23 +77,25 @@
         try {
             requestClass = rules.requestClass(rules.check(ask).requestClass());
         } catch (Marks.Unfit e) {
-            return answerAtOnce(asker, new Answer.Failed(e.getMessage()));
+            return answerAtOnce(asker, null, new Answer.Failed(e.getMessage()));
         }
         if (lives.containsKey(ask.id())) {
             // Guards an open ask against another terminal that names its id: it is neither joined, answered nor ended.
-            return answerAtOnce(asker, new Answer.Failed("this id is under way"));
+            return answerAtOnce(asker, requestClass.name(), new Answer.Failed("this id is under way"));
         }
         if (lives.size() >= settings.limits().maxOpen()) {
             // Guards memory and descriptors against more open asks than this machine can hold.
-            return answerAtOnce(asker, new Answer.Refused((long) settings.limits().maxRetryAfterMs()));
+            return answerAtOnce(asker, requestClass.name(),
+                    new Answer.Refused((long) settings.limits().maxRetryAfterMs()));
         }
         Life life = take(ask, requestClass, asker);
         askModule(life);
         return life.over ? null : life;
     }
 
-    private UnderWay answerAtOnce(Asker asker, Answer answer) {
-        count(answer);
+    /** The class is null where the ask names none that is known: its end is counted, but in no class. */
+    private UnderWay answerAtOnce(Asker asker, String requestClass, Answer answer) {
+        count(requestClass, answer);
         asker.answered(answer);
         asker.settled();
         return null;
@@ -105,7 +108,7 @@
         }
         if (step instanceof Life.Step.Final end) {
             close(life);
-            count(end.answer());
+            count(life.requestClass.name(), end.answer());
             life.finish(end.answer());
         } else {
             attempt(life, (Life.Step.SendTo) step);
@@ -120,6 +123,7 @@
     private Life take(Ask ask, Admission.RequestClass requestClass, Asker asker) {
         Life life = new Life(this, ask, requestClass, asker, clock.now());
         lives.put(ask.id(), life);
+        metrics.inflight(lives.size());
         alarms.set(ask.waitMs() - GUARD_MARGIN_MS, life.deadline());
         return life;
     }
@@ -144,6 +148,7 @@
             return;
         }
         counters.attempts++;
+        metrics.backendCall();
         double left = life.takenAt + life.ask.waitMs() - now;
         attempt.running = links.attempt(attempt.node, life.ask, step.timeoutMs() > 0 ? Math.min(left, step.timeoutMs())
                 : left, attempt);
@@ -207,21 +212,31 @@
     private void close(Life life) {
         alarms.cancel(life.deadline());
         lives.remove(life.ask.id(), life);
+        metrics.inflight(lives.size());
     }
 
-    private void count(Answer answer) {
+    private void count(String requestClass, Answer answer) {
+        Metrics.End end;
         if (answer instanceof Answer.Served) {
             counters.served++;
+            end = Metrics.End.SUCCESS;
         } else if (answer instanceof Answer.Refused) {
             counters.refused++;
+            end = Metrics.End.BUSY;
         } else {
             counters.failed++;
+            end = Metrics.End.FAILURE;
+        }
+        if (requestClass != null) {
+            metrics.ended(requestClass, end);
         }
     }
 
     /** Takes in the node list, whole or its changed lines. */
     public void nodesTold(boolean whole, List<AppNode> lines) {
         nodes.told(whole, lines).forEach(links::forget);
+        List<AppNode> listed = nodes.all();
+        metrics.hosts(listed.size(), (int) listed.stream().filter(node -> nodes.open(node.name()) == null).count());
         tell(() -> module.hosts(clock.now(), whole, lines.stream().map(AppNode::host).toList()));
     }
 
@@ -245,6 +260,11 @@
         return settings;
     }
 
+    /** The figures for operators, which a thread of their own may read. */
+    public Metrics metrics() {
+        return metrics;
+    }
+
     /**
      * Runs events of the module and the steps that it chose one after another. Guards the module against being
      * called from within one of its own calls.
--- /dev/null
+++ b/gateway/src/main/java/opalcove/gateway/Metrics.java
@@ -0,0 +1,76 @@
+package opalcove.gateway;
+
+import java.util.Map;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.atomic.AtomicLong;
+import java.util.concurrent.atomic.AtomicLongArray;
+
+/**
+ * The figures that operators fetch, in the StatsD text form: {@code gateway.success.C:812|c} for a count,
+ * {@code gateway.inflight:14|g} for a gauge. The event loop writes them; the console reads them on a thread of its own,
+ * so each is atomic. Counts start at 0 with the process.
+ */
+public final class Metrics {
+    /** The ends of a request, by the names of the figures. */
+    public enum End { SUCCESS, BUSY, FAILURE }
+
+    private static final String PREFIX = "gateway.";
+
+    private final Map<String, AtomicLongArray> byClass = new ConcurrentHashMap<>();
+    private final AtomicLong backendCalls = new AtomicLong();
+    private final AtomicLong reconfigOk = new AtomicLong();
+    private final AtomicLong reconfigFailed = new AtomicLong();
+    private volatile int inflight;
+    private volatile int hostsListed;
+    private volatile int hostsDown;
+
+    /** A request of the class ended so. */
+    public void ended(String requestClass, End end) {
+        byClass.computeIfAbsent(requestClass, name -> new AtomicLongArray(End.values().length))
+                .incrementAndGet(end.ordinal());
+    }
+
+    /** An attempt was written whole to an app node. */
+    public void backendCall() {
+        backendCalls.incrementAndGet();
+    }
+
+    /** A settings file was taken at SIGHUP, or turned down. */
+    public void reconfigured(boolean taken) {
+        (taken ? reconfigOk : reconfigFailed).incrementAndGet();
+    }
+
+    public void inflight(int open) {
+        inflight = open;
+    }
+
+    public void hosts(int listed, int down) {
+        hostsListed = listed;
+        hostsDown = down;
+    }
+
+    /** All figures, one a line, each line ended by a line feed. */
+    public String lines() {
+        StringBuilder text = new StringBuilder(256);
+        byClass.forEach((name, ends) -> {
+            for (End end : End.values()) {
+                count(text, end.name().toLowerCase(java.util.Locale.ROOT) + "." + name, ends.get(end.ordinal()));
+            }
+        });
+        count(text, "backend_calls", backendCalls.get());
+        gauge(text, "inflight", inflight);
+        gauge(text, "hosts_listed", hostsListed);
+        gauge(text, "hosts_down", hostsDown);
+        count(text, "reconfig_ok", reconfigOk.get());
+        count(text, "reconfig_failed", reconfigFailed.get());
+        return text.toString();
+    }
+
+    private static void count(StringBuilder text, String name, long figure) {
+        text.append(PREFIX).append(name).append(':').append(figure).append("|c\n");
+    }
+
+    private static void gauge(StringBuilder text, String name, long figure) {
+        text.append(PREFIX).append(name).append(':').append(figure).append("|g\n");
+    }
+}
--- a/gateway/src/main/java/opalcove/loop/PatientTransport.java
+++ b/gateway/src/main/java/opalcove/loop/PatientTransport.java
@@ -1,9 +1,13 @@
 package opalcove.loop;
 
+import io.netty.bootstrap.ServerBootstrap;
 import io.netty.channel.IoHandler;
 import io.netty.channel.IoHandlerFactory;
 import io.netty.util.concurrent.ThreadAwareExecutor;
+import io.netty.channel.socket.nio.NioChannelOption;
 import io.vertx.core.impl.transports.NioTransport;
+import io.vertx.core.net.NetServerOptions;
+import java.net.StandardSocketOptions;
 
 /**
  * Vert.x's NIO transport, but for the last part of a millisecond before a timer is due. A selector waits in whole
@@ -21,6 +25,18 @@
         return executor -> new Patient(handler(plain, executor));
     }
 
+    /**
+     * Vert.x leaves SO_REUSEPORT to its native transports; the JDK has it on Linux. With it a new process of the gateway
+     * listens at the port of the old one while that still serves.
+     */
+    @Override
+    public void configure(NetServerOptions options, boolean domainSocket, ServerBootstrap bootstrap) {
+        super.configure(options, domainSocket, bootstrap);
+        if (options.isReusePort() && !domainSocket) {
+            bootstrap.option(NioChannelOption.of(StandardSocketOptions.SO_REUSEPORT), true);
+        }
+    }
+
     /** The handler of a loop; a transport that looks at what loops do puts its own around it. */
     protected IoHandler handler(IoHandlerFactory plain, ThreadAwareExecutor executor) {
         return plain.newHandler(executor);
--- a/gateway/src/main/java/opalcove/platform/Config.java
+++ b/gateway/src/main/java/opalcove/platform/Config.java
@@ -13,8 +13,8 @@
 import opalcove.gateway.NodeLines;
 import opalcove.gateway.SettingsReader;
 
-/** What the platform tells a gateway at its start. */
-public record Config(String name, Endpoint listen, Endpoint discovery, long seed, int sockets,
+/** What the platform tells a gateway at its start; console is null where no operators' door is named. */
+public record Config(String name, Endpoint listen, Endpoint console, Endpoint discovery, long seed, int sockets,
                      List<AppNode> known, long knownIndex, Admission.Settings settings) {
     /**
      * Reads the file that GW_CONFIG names. The other variables go before what it says, but for discovery: they are as
@@ -38,8 +38,10 @@
         Endpoint listen = Endpoint.read(environment.getOrDefault("GW_LISTEN", f.textOr("listen", "")), "listen");
         Endpoint discovery = Endpoint.read(f.has("discovery") ? f.text("discovery")
                 : environment.getOrDefault("GW_DISCOVERY", ""), "discovery");
+        String consoleAt = environment.getOrDefault("GW_CONSOLE", f.textOr("console", ""));
+        Endpoint console = consoleAt.isEmpty() ? null : Endpoint.read(consoleAt, "console");
         int sockets = f.has("limits") ? f.object("limits").wholeOr("sockets", 1024) : 1024;
-        return new Config(environment.getOrDefault("GW_NAME", f.textOr("name", "")), listen, discovery, seed(f),
+        return new Config(environment.getOrDefault("GW_NAME", f.textOr("name", "")), listen, console, discovery, seed(f),
                 sockets, f.has("known") ? NodeLines.read(f.object("known").objects("endpoints")) : List.of(),
                 f.has("known") && f.object("known").has("index") ? f.object("known").serial("index")
                         : DiscoveryWatch.NO_INDEX,
--- a/gateway/src/main/java/opalcove/platform/RespFront.java
+++ b/gateway/src/main/java/opalcove/platform/RespFront.java
@@ -33,6 +33,11 @@
     /** A connection without an open ask is closed after this, be it new, at rest, or amid a command, ms. */
     private static final long REST_MS = 2000;
     private static final long SWEEP_MS = 250;
+    /**
+     * While clients are sent away, a connection that carries nothing is closed once it is this old, ms: time for a new one
+     * to bring its first command.
+     */
+    private static final long AWAY_REST_MS = 200;
     /** How long a connection is not read after a command that was an error, ms; longer with each of them. */
     private static final long PENALTY_MS = 50;
     private static final int MOST_PENALTIES = 20;
@@ -58,6 +63,8 @@
     private final Set<Terminal> farewells = new LinkedHashSet<>();
     private final int mostFarewells;
     private Runnable whenEmpty = () -> { };
+    /** Told by an operator: PING says no, and each connection is closed once it owes nothing. */
+    private boolean sendingAway;
 
     public RespFront(Vertx vertx, Gateway gateway, Phases phases, int mostTerminals) {
         this.vertx = vertx;
@@ -65,7 +72,8 @@
         asks = new AskReader(gateway.rules());
         this.phases = phases;
         mostFarewells = Math.max(1, mostTerminals / FAREWELL_PART);
-        server = vertx.createNetServer(new NetServerOptions().setAcceptBacklog(512).setReuseAddress(true));
+        server = vertx.createNetServer(new NetServerOptions().setAcceptBacklog(512).setReuseAddress(true)
+                .setReusePort(true));
         server.connectHandler(socket -> {
             if (terminals.size() >= mostTerminals && !closeLongestIdle()) {
                 Logger.warn("a terminal's connection is closed: {} are open and busy", terminals.size());
@@ -79,7 +87,7 @@
 
     /** Guards memory and descriptors against terminals that ask once, or never to the end of a command, and stay. */
     private void closeResting() {
-        long before = System.nanoTime() - TimeUnit.MILLISECONDS.toNanos(REST_MS);
+        long before = System.nanoTime() - TimeUnit.MILLISECONDS.toNanos(sendingAway ? AWAY_REST_MS : REST_MS);
         for (Terminal each : List.copyOf(terminals)) {
             if (each.slots.isEmpty() && each.lastUsed - before < 0) {
                 each.partIfQuiet();
@@ -123,6 +131,21 @@
         return server.listen(at);
     }
 
+    /**
+     * An operator's drain, or its end: while clients are sent away, PING says no, so that the front before this gateway
+     * sends no new connections, and every connection is closed once it owes no answer. Answers owed are all given.
+     */
+    public void sendAway(boolean away) {
+        sendingAway = away;
+        if (away) {
+            closeResting();
+        }
+    }
+
+    public boolean sendingAway() {
+        return sendingAway;
+    }
+
     /** Takes no new connections, and closes each that owes no answer; runs the action once none is left. */
     public void drain(Runnable action) {
         whenEmpty = action;
@@ -234,7 +257,9 @@
         private void other(Slot slot, RespReader command) {
             switch (command.text(0).toUpperCase(Locale.ROOT)) {
                 case "PING" -> {
-                    if (command.count() > 1) {
+                    if (sendingAway) {
+                        line(slot, "-ERR draining");
+                    } else if (command.count() > 1) {
                         served(slot, command.lend(1));
                     } else {
                         line(slot, "+PONG");
@@ -353,7 +378,7 @@
         }
 
         void closeIfIdle() {
-            boolean draining = phases.now().ordinal() >= Phases.Phase.DRAINING.ordinal();
+            boolean draining = sendingAway || phases.now().ordinal() >= Phases.Phase.DRAINING.ordinal();
             if (slots.isEmpty() && closing) {
                 part();
             } else if (slots.isEmpty() && draining) {
--- a/gateway/src/main/java/opalcove/platform/Serve.java
+++ b/gateway/src/main/java/opalcove/platform/Serve.java
@@ -8,6 +8,7 @@
 import opalcove.gateway.Clock;
 import opalcove.gateway.Gateway;
 import opalcove.gateway.LinkPool;
+import opalcove.gateway.Phases;
 import opalcove.gateway.Program;
 import org.tinylog.Logger;
 
@@ -26,6 +27,15 @@
         // Before anything else: unheard, SIGHUP would end the program.
         Hangups hangups = new Hangups();
         Config config = Config.read(System.getenv());
+        // The door opens first, so that operators are told how far the start has come.
+        Door door = new Door();
+        if (config.console() != null) {
+            Console console = new Console(Program.eventLoop(), door);
+            console.listen(config.console()).onFailure(e -> {
+                Logger.error("cannot listen at the console address {}: {}", config.console(), e.getMessage());
+                Runtime.getRuntime().halt(1);
+            });
+        }
         Logger.info("rehearsed {} asks", Rehearsal.play(Program::eventLoop, config.settings(), REHEARSAL_MS));
         Program program = new Program();
         program.start(vertx -> {
@@ -36,11 +46,12 @@
             DiscoveryWatch discovery = new DiscoveryWatch(vertx, config.discovery(), config.settings(),
                     new SplittableRandom(config.seed()), gateway::nodesTold);
             program.atEnd(gateway, front::drain);
+            door.serve(vertx, gateway, front, program.phases());
             if (!config.known().isEmpty()) {
                 // An empty list would make every node of discovery's first one look newly started, and cold.
                 gateway.nodesTold(true, config.known());
             }
-            hangups.listen(() -> reload(config, vertx, discovery));
+            hangups.listen(() -> reload(config, vertx, discovery, gateway));
             // A list known from before may be out of date: asks must not go to a node that the agent could have told is
             // gone. Where one service has to be asked it will do, for waiting on that only keeps a gateway away longer.
             boolean knownWillDo = config.settings().duties().listOnRequest() && !config.known().isEmpty();
@@ -51,15 +62,60 @@
     }
 
     /** The file was replaced: discovery moves at once; a file that cannot be used leaves the old one in force. */
-    private static void reload(Config started, Vertx vertx, DiscoveryWatch discovery) {
+    private static void reload(Config started, Vertx vertx, DiscoveryWatch discovery, Gateway gateway) {
         try {
             Config config = Config.read(System.getenv());
+            gateway.metrics().reconfigured(true);
             if (!config.settings().equals(started.settings()) || !config.listen().equals(started.listen())) {
                 Logger.warn("new settings or a new address to listen at need a restart: only discovery's is taken over");
             }
             vertx.runOnContext(read -> discovery.moveTo(config.discovery()));
         } catch (BadSettings e) {
+            gateway.metrics().reconfigured(false);
             Logger.error("the new configuration is refused, the old stays in force: {}", e.getMessage());
         }
     }
+
+    /**
+     * What the operators' door sees of the gateway. Until the gateway is wired, the process is starting; afterwards
+     * state is read from the door's thread, so what it reads is published here, and what it does goes to the event loop.
+     */
+    private static final class Door implements Console.Gateway {
+        private volatile Phases.Phase phase = Phases.Phase.STARTING;
+        private volatile boolean away;
+        private Vertx vertx;
+        private Gateway gateway;
+        private RespFront front;
+
+        synchronized void serve(Vertx loop, Gateway wired, RespFront wiredFront, Phases phases) {
+            vertx = loop;
+            gateway = wired;
+            front = wiredFront;
+            phases.watch(next -> phase = next);
+            if (away) {
+                vertx.runOnContext(told -> front.sendAway(true));
+            }
+        }
+
+        @Override
+        public String notReady() {
+            if (phase != Phases.Phase.SERVING) {
+                return phase.name().toLowerCase(java.util.Locale.ROOT);
+            }
+            return away ? "clients are sent away" : null;
+        }
+
+        @Override
+        public synchronized String figures() {
+            return gateway == null ? "" : gateway.metrics().lines();
+        }
+
+        @Override
+        public synchronized void sendAway(boolean send) {
+            away = send;
+            if (vertx != null) {
+                vertx.runOnContext(told -> front.sendAway(send));
+            }
+        }
+    }
 }
--- /dev/null
+++ b/gateway/src/test/java/opalcove/platform/ConsoleTest.java
@@ -0,0 +1,129 @@
+package opalcove.platform;
+
+import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertTrue;
+
+import io.vertx.core.Vertx;
+import java.io.ByteArrayOutputStream;
+import java.io.InputStream;
+import java.io.OutputStream;
+import java.net.Socket;
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.TimeUnit;
+import opalcove.gateway.Endpoint;
+import opalcove.gateway.Metrics;
+import org.testng.annotations.AfterClass;
+import org.testng.annotations.BeforeClass;
+import org.testng.annotations.Test;
+
+/** The operators' door, by the bytes that go to it and come back. */
+public class ConsoleTest {
+    private final Metrics metrics = new Metrics();
+    private final List<Boolean> told = new ArrayList<>();
+    private volatile String notReady = "starting";
+    private Vertx vertx;
+    private int port;
+
+    @BeforeClass
+    public void open() throws Exception {
+        vertx = Vertx.vertx();
+        Console console = new Console(vertx, new Console.Gateway() {
+            @Override
+            public String notReady() {
+                return notReady;
+            }
+
+            @Override
+            public String figures() {
+                return metrics.lines();
+            }
+
+            @Override
+            public void sendAway(boolean away) {
+                synchronized (told) {
+                    told.add(away);
+                }
+            }
+        });
+        port = console.listen(new Endpoint("127.0.0.1", 0)).toCompletionStage().toCompletableFuture()
+                .get(10, TimeUnit.SECONDS);
+    }
+
+    @AfterClass
+    public void close() throws Exception {
+        vertx.close().toCompletionStage().toCompletableFuture().get(10, TimeUnit.SECONDS);
+    }
+
+    @Test
+    public void readyTellsHowFarTheStartHasCome() throws Exception {
+        notReady = "starting";
+        assertEquals(exchange("READY\n"), "-ERR not ready: starting\n");
+        notReady = null;
+        assertEquals(exchange("READY\r\n"), "+OK ready\n");
+    }
+
+    @Test
+    public void statsGivesTheFiguresInStatsdFormThenADot() throws Exception {
+        Metrics.End success = Metrics.End.SUCCESS;
+        metrics.ended("slot-status", success);
+        metrics.ended("slot-status", success);
+        metrics.ended("slot-status", Metrics.End.BUSY);
+        metrics.backendCall();
+        metrics.inflight(14);
+        metrics.hosts(5, 1);
+        metrics.reconfigured(false);
+        String answer = exchange("STATS\n");
+        assertTrue(answer.startsWith("+OK\n"), answer);
+        assertTrue(answer.endsWith("\n.\n"), answer);
+        List<String> lines = answer.lines().toList();
+        assertTrue(lines.contains("gateway.success.slot-status:2|c"), answer);
+        assertTrue(lines.contains("gateway.busy.slot-status:1|c"), answer);
+        assertTrue(lines.contains("gateway.failure.slot-status:0|c"), answer);
+        assertTrue(lines.contains("gateway.backend_calls:1|c"), answer);
+        assertTrue(lines.contains("gateway.inflight:14|g"), answer);
+        assertTrue(lines.contains("gateway.hosts_listed:5|g"), answer);
+        assertTrue(lines.contains("gateway.hosts_down:1|g"), answer);
+        assertTrue(lines.contains("gateway.reconfig_ok:0|c"), answer);
+        assertTrue(lines.contains("gateway.reconfig_failed:1|c"), answer);
+    }
+
+    @Test
+    public void drainAndUndrainAreHandedToTheGateway() throws Exception {
+        assertEquals(exchange("DRAIN\n"), "+OK draining\n");
+        assertEquals(exchange("undrain\n"), "+OK taking clients\n");
+        synchronized (told) {
+            assertEquals(told.subList(told.size() - 2, told.size()), List.of(true, false));
+        }
+    }
+
+    @Test
+    public void anUnknownOrOverlongCallIsAnErrorAndCounted() throws Exception {
+        assertEquals(exchange("REBOOT\n"), "-ERR unknown call 'REBOOT'; calls are READY, STATS, DRAIN and UNDRAIN\n");
+        assertTrue(exchange("X".repeat(300) + "\n").startsWith("-ERR a call is one line"));
+    }
+
+    @Test
+    public void anIdleCallerHoldsNobodyUp() throws Exception {
+        try (Socket idle = new Socket("127.0.0.1", port)) {
+            idle.getOutputStream().write("REA".getBytes(StandardCharsets.US_ASCII));
+            notReady = null;
+            assertEquals(exchange("READY\n"), "+OK ready\n");
+        }
+    }
+
+    /** Sends the bytes on a new connection and reads all until the door closes it. */
+    private String exchange(String call) throws Exception {
+        try (Socket socket = new Socket("127.0.0.1", port)) {
+            socket.setSoTimeout(10_000);
+            OutputStream out = socket.getOutputStream();
+            out.write(call.getBytes(StandardCharsets.US_ASCII));
+            out.flush();
+            InputStream in = socket.getInputStream();
+            ByteArrayOutputStream got = new ByteArrayOutputStream();
+            in.transferTo(got);
+            return got.toString(StandardCharsets.US_ASCII);
+        }
+    }
+}
--- /dev/null
+++ b/gateway/src/test/java/opalcove/platform/ReusePortTest.java
@@ -0,0 +1,29 @@
+package opalcove.platform;
+
+import static org.testng.Assert.assertEquals;
+
+import io.vertx.core.Vertx;
+import io.vertx.core.net.NetServerOptions;
+import java.util.concurrent.TimeUnit;
+import opalcove.gateway.Program;
+import org.testng.annotations.Test;
+
+/** A new process of the gateway listens at the port of the old one while that still serves. */
+public class ReusePortTest {
+    @Test
+    public void twoEventLoopsListenAtOnePort() throws Exception {
+        Vertx old = Program.eventLoop();
+        Vertx next = Program.eventLoop();
+        try {
+            NetServerOptions options = new NetServerOptions().setReusePort(true).setReuseAddress(true);
+            int port = old.createNetServer(options).connectHandler(socket -> { }).listen(0, "127.0.0.1")
+                    .toCompletionStage().toCompletableFuture().get(10, TimeUnit.SECONDS).actualPort();
+            int second = next.createNetServer(options).connectHandler(socket -> { }).listen(port, "127.0.0.1")
+                    .toCompletionStage().toCompletableFuture().get(10, TimeUnit.SECONDS).actualPort();
+            assertEquals(second, port);
+        } finally {
+            old.close();
+            next.close();
+        }
+    }
+}
