--- a/gateway/src/main/java/opalcove/gateway/Gateway.java
+++ b/gateway/src/main/java/opalcove/gateway/Gateway.java
@@ -77,7 +77,8 @@
         try {
             requestClass = rules.requestClass(rules.check(ask).requestClass());
         } catch (Marks.Unfit e) {
-            return answerAtOnce(asker, null, new Answer.Failed(e.getMessage()));
+            // Peers count such a failure in the class that the request names, known or not.
+            return answerAtOnce(asker, ask.requestClass(), new Answer.Failed(e.getMessage()));
         }
         if (lives.containsKey(ask.id())) {
             // Guards an open ask against another terminal that names its id: it is neither joined, answered nor ended.
@@ -93,7 +94,7 @@
         return life.over ? null : life;
     }
 
-    /** The class is null where the ask names none that is known: its end is counted, but in no class. */
+    /** The class is null where the ask names none: its end is counted, but in no class. */
     private UnderWay answerAtOnce(Asker asker, String requestClass, Answer answer) {
         count(requestClass, answer);
         asker.answered(answer);
--- a/gateway/src/main/java/opalcove/gateway/Metrics.java
+++ b/gateway/src/main/java/opalcove/gateway/Metrics.java
@@ -15,6 +15,10 @@
     public enum End { SUCCESS, BUSY, FAILURE }
 
     private static final String PREFIX = "gateway.";
+    /** Guards memory against requests that name ever new classes: beyond these, an end is counted in no class. */
+    static final int MOST_CLASSES = 64;
+    /** The longest class name that is counted by name. */
+    static final int LONGEST_NAME = 64;
 
     private final Map<String, AtomicLongArray> byClass = new ConcurrentHashMap<>();
     private final AtomicLong backendCalls = new AtomicLong();
@@ -26,8 +30,15 @@
 
     /** A request of the class ended so. */
     public void ended(String requestClass, End end) {
-        byClass.computeIfAbsent(requestClass, name -> new AtomicLongArray(End.values().length))
-                .incrementAndGet(end.ordinal());
+        AtomicLongArray ends = byClass.get(requestClass);
+        if (ends == null) {
+            if (byClass.size() >= MOST_CLASSES || requestClass.length() > LONGEST_NAME
+                    || !requestClass.chars().allMatch(c -> c > ' ' && c < 127 && c != ':' && c != '|')) {
+                return;
+            }
+            ends = byClass.computeIfAbsent(requestClass, name -> new AtomicLongArray(End.values().length));
+        }
+        ends.incrementAndGet(end.ordinal());
     }
 
     /** An attempt was written whole to an app node. */
--- a/gateway/src/test/java/opalcove/platform/ConsoleTest.java
+++ b/gateway/src/test/java/opalcove/platform/ConsoleTest.java
@@ -89,6 +89,20 @@
         assertTrue(lines.contains("gateway.reconfig_failed:1|c"), answer);
     }
 
+    @Test
+    public void classesAreCountedByNameButNotWithoutBound() {
+        Metrics metrics = new Metrics();
+        metrics.ended("battery-update-ii", Metrics.End.FAILURE);
+        metrics.ended("bad|name", Metrics.End.FAILURE);
+        for (int i = 0; i < 100; i++) {
+            metrics.ended("made-up-" + i, Metrics.End.FAILURE);
+        }
+        List<String> lines = metrics.lines().lines().toList();
+        assertTrue(lines.contains("gateway.failure.battery-update-ii:1|c"), lines.toString());
+        assertTrue(lines.stream().noneMatch(line -> line.contains("bad|name")), lines.toString());
+        assertTrue(lines.stream().filter(line -> line.startsWith("gateway.failure.")).count() <= 64, lines.toString());
+    }
+
     @Test
     public void drainAndUndrainAreHandedToTheGateway() throws Exception {
         assertEquals(exchange("DRAIN\n"), "+OK draining\n");
