Count requests the front turns away for an unknown class as failures of that class

AskReader turns them away first, and the front answered -ERR unknown class without a count. Now Marks.Unfit carries the class named, once it is read, and the front counts the failure under it.

SendAwayTest: a request of an unknown class is answered -ERR unknown class and counted.

--- a/gateway/src/main/java/opalcove/gateway/Marks.java
+++ b/gateway/src/main/java/opalcove/gateway/Marks.java
@@ -14,8 +14,20 @@
     public static final class Unfit extends Exception {
         private static final long serialVersionUID = 1L;
 
+        /** The class that the request names, or null where it was not read. */
+        private final String requestClass;
+
         public Unfit(String reason) {
+            this(reason, null);
+        }
+
+        public Unfit(String reason, String requestClass) {
             super(reason);
+            this.requestClass = requestClass;
+        }
+
+        public String requestClass() {
+            return requestClass;
         }
     }
 
--- a/gateway/src/main/java/opalcove/platform/AskReader.java
+++ b/gateway/src/main/java/opalcove/platform/AskReader.java
@@ -189,14 +189,20 @@
             }
         }
         Marks marks = new Marks(values);
-        Admission.RequestClass requestClass = rules.requestClass(marks.need("c"));
-        if (submit == (requestClass.effect() == Admission.Effect.SAFE)) {
-            throw new Marks.Unfit((submit ? SUBMIT : QUERY) + " does not serve " + requestClass.name());
+        String named = marks.need("c");
+        try {
+            Admission.RequestClass requestClass = rules.requestClass(named);
+            if (submit == (requestClass.effect() == Admission.Effect.SAFE)) {
+                throw new Marks.Unfit((submit ? SUBMIT : QUERY) + " does not serve " + requestClass.name());
+            }
+            boolean keyed = requestClass.effect() == Admission.Effect.KEYED;
+            return rules.check(new Ask(Marks.hex(command.text(2), "the id"), command.text(1), requestClass.name(),
+                    marks.need("t"), marks.number("units"), marks.number("d"), keyed ? marks.need("k") : null,
+                    marks.set("r"), marks.whole("spread"), marks.whole("first"), null));
+        } catch (Marks.Unfit e) {
+            // The figures count the failure in the class that the request names, known or not.
+            throw new Marks.Unfit(e.getMessage(), named);
         }
-        boolean keyed = requestClass.effect() == Admission.Effect.KEYED;
-        return rules.check(new Ask(Marks.hex(command.text(2), "the id"), command.text(1), requestClass.name(),
-                marks.need("t"), marks.number("units"), marks.number("d"), keyed ? marks.need("k") : null,
-                marks.set("r"), marks.whole("spread"), marks.whole("first"), null));
     }
 
     /** Writes the command that passes the ask on; waitMs is how long this gateway will wait. */
--- a/gateway/src/main/java/opalcove/platform/RespFront.java
+++ b/gateway/src/main/java/opalcove/platform/RespFront.java
@@ -247,6 +247,9 @@
             try {
                 ask = asks.read(command, raw);
             } catch (Marks.Unfit e) {
+                if (e.requestClass() != null) {
+                    gateway.metrics().ended(e.requestClass(), opalcove.gateway.Metrics.End.FAILURE);
+                }
                 error(slot, e.getMessage());
                 return;
             }
--- a/gateway/src/test/java/opalcove/platform/SendAwayTest.java
+++ b/gateway/src/test/java/opalcove/platform/SendAwayTest.java
@@ -75,6 +75,35 @@
         }
     }
 
+    @Test
+    public void aRequestOfAnUnknownClassFailsAndCountsInThatClass() throws Exception {
+        Vertx vertx = Vertx.vertx();
+        try {
+            CompletableFuture<Gateway> made = new CompletableFuture<>();
+            CompletableFuture<Integer> port = new CompletableFuture<>();
+            vertx.runOnContext(start -> {
+                Gateway gateway = new Gateway(vertx, new Clock(), Facts.settings(), 1, new NoLinks());
+                Phases phases = new Phases();
+                phases.enter(Phases.Phase.SERVING);
+                new RespFront(vertx, gateway, phases, 64).listen(new Endpoint("127.0.0.1", 0))
+                        .onSuccess(port::complete);
+                made.complete(gateway);
+            });
+            Gateway gateway = made.get(10, TimeUnit.SECONDS);
+            String marks = "c=battery-update-ii,t=basis,d=100,units=1,spread=1,first=0";
+            String query = "*4\r\n$9\r\nSVC.QUERY\r\n$16\r\n00000000000000a1\r\n$16\r\n00000000000000b2\r\n$"
+                    + marks.length() + "\r\n" + marks + "\r\n";
+            try (Socket terminal = new Socket("127.0.0.1", port.get(10, TimeUnit.SECONDS))) {
+                terminal.setSoTimeout(20_000);
+                assertEquals(say(terminal, query, 64), "-ERR unknown class\r\n");
+            }
+            assertTrue(gateway.metrics().lines().lines().toList()
+                    .contains("gateway.failure.battery-update-ii:1|c"), gateway.metrics().lines());
+        } finally {
+            vertx.close();
+        }
+    }
+
     private static String say(Socket socket, String command, int length) throws Exception {
         OutputStream out = socket.getOutputStream();
         out.write(command.getBytes(StandardCharsets.US_ASCII));
