--- a/gateway/src/main/java/opalcove/gateway/Metrics.java
+++ b/gateway/src/main/java/opalcove/gateway/Metrics.java
@@ -1,5 +1,6 @@
 package opalcove.gateway;
 
+import java.util.Locale;
 import java.util.Map;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.atomic.AtomicLong;
@@ -65,7 +66,7 @@
         StringBuilder text = new StringBuilder(256);
         byClass.forEach((name, ends) -> {
             for (End end : End.values()) {
-                count(text, end.name().toLowerCase(java.util.Locale.ROOT) + "." + name, ends.get(end.ordinal()));
+                count(text, end.name().toLowerCase(Locale.ROOT) + "." + name, ends.get(end.ordinal()));
             }
         });
         count(text, "backend_calls", backendCalls.get());
--- a/gateway/src/main/java/opalcove/platform/Console.java
+++ b/gateway/src/main/java/opalcove/platform/Console.java
@@ -60,11 +60,6 @@
         return server.listen(SocketAddress.inetSocketAddress(at.port(), at.address())).map(NetServer::actualPort);
     }
 
-    /** Calls that were not understood since the start. */
-    public long wrongCalls() {
-        return wrongCalls.get();
-    }
-
     private void caller(NetSocket socket) {
         if (open.size() >= MOST_OPEN) {
             NetSocket oldest = open.iterator().next();
--- a/gateway/src/main/java/opalcove/platform/RespFront.java
+++ b/gateway/src/main/java/opalcove/platform/RespFront.java
@@ -22,6 +22,7 @@
 import opalcove.gateway.Endpoint;
 import opalcove.gateway.Gateway;
 import opalcove.gateway.Marks;
+import opalcove.gateway.Metrics;
 import opalcove.gateway.Phases;
 import org.tinylog.Logger;
 
@@ -142,10 +143,6 @@
         }
     }
 
-    public boolean sendingAway() {
-        return sendingAway;
-    }
-
     /** Takes no new connections, and closes each that owes no answer; runs the action once none is left. */
     public void drain(Runnable action) {
         whenEmpty = action;
@@ -248,7 +245,7 @@
                 ask = asks.read(command, raw);
             } catch (Marks.Unfit e) {
                 if (e.requestClass() != null) {
-                    gateway.metrics().ended(e.requestClass(), opalcove.gateway.Metrics.End.FAILURE);
+                    gateway.metrics().ended(e.requestClass(), Metrics.End.FAILURE);
                 }
                 error(slot, e.getMessage());
                 return;
--- a/gateway/src/main/java/opalcove/platform/Serve.java
+++ b/gateway/src/main/java/opalcove/platform/Serve.java
@@ -2,6 +2,7 @@
 
 import io.vertx.core.Future;
 import io.vertx.core.Vertx;
+import java.util.Locale;
 import java.util.SplittableRandom;
 import java.util.concurrent.TimeUnit;
 import opalcove.gateway.BadSettings;
@@ -100,7 +101,7 @@
         @Override
         public String notReady() {
             if (phase != Phases.Phase.SERVING) {
-                return phase.name().toLowerCase(java.util.Locale.ROOT);
+                return phase.name().toLowerCase(Locale.ROOT);
             }
             return away ? "clients are sent away" : null;
         }
--- a/gateway/src/test/java/opalcove/platform/SendAwayTest.java
+++ b/gateway/src/test/java/opalcove/platform/SendAwayTest.java
@@ -19,88 +19,85 @@
 import opalcove.gateway.Gateway;
 import opalcove.gateway.NodeLinks;
 import opalcove.gateway.Phases;
+import org.testng.annotations.AfterMethod;
+import org.testng.annotations.BeforeMethod;
 import org.testng.annotations.Test;
 
 /** An operator's drain on the client port, by the bytes that a terminal sends and gets. */
 public class SendAwayTest {
     /** PINGs that may come before the event loop has taken the operator's word. */
     private static final int MOST_LOOKS = 10_000;
+    private static final String PING = "*1\r\n$4\r\nPING\r\n";
+
+    private Vertx vertx;
+    private Gateway gateway;
+    private RespFront front;
+    private int port;
+
+    @BeforeMethod
+    public void open() throws Exception {
+        vertx = Vertx.vertx();
+        CompletableFuture<Integer> listening = new CompletableFuture<>();
+        vertx.runOnContext(start -> {
+            gateway = new Gateway(vertx, new Clock(), Facts.settings(), 1, new NoLinks());
+            Phases phases = new Phases();
+            phases.enter(Phases.Phase.SERVING);
+            front = new RespFront(vertx, gateway, phases, 64);
+            front.listen(new Endpoint("127.0.0.1", 0)).onSuccess(listening::complete);
+        });
+        port = listening.get(10, TimeUnit.SECONDS);
+    }
+
+    @AfterMethod
+    public void close() {
+        vertx.close();
+    }
 
     @Test
     public void pingSaysNoAndAConnectionAtRestIsClosedThenUndrainSaysYes() throws Exception {
-        Vertx vertx = Vertx.vertx();
-        try {
-            CompletableFuture<RespFront> made = new CompletableFuture<>();
-            vertx.runOnContext(start -> {
-                Gateway gateway = new Gateway(vertx, new Clock(), Facts.settings(), 1, new NoLinks());
-                Phases phases = new Phases();
-                phases.enter(Phases.Phase.SERVING);
-                made.complete(new RespFront(vertx, gateway, phases, 64));
-            });
-            RespFront front = made.get(10, TimeUnit.SECONDS);
-            CompletableFuture<Integer> port = new CompletableFuture<>();
-            vertx.runOnContext(open -> front.listen(new Endpoint("127.0.0.1", 0)).onSuccess(port::complete));
-            int at = port.get(10, TimeUnit.SECONDS);
-            String ping = "*1\r\n$4\r\nPING\r\n";
-            try (Socket kept = new Socket("127.0.0.1", at)) {
-                kept.setSoTimeout(20_000);
-                assertEquals(say(kept, ping, 7), "+PONG\r\n");
-                vertx.runOnContext(told -> front.sendAway(true));
-                try (Socket other = new Socket("127.0.0.1", at)) {
-                    other.setSoTimeout(20_000);
-                    String answer = say(other, ping, 15);
-                    // The drain may come a moment after this connection's PING; then it says yes once more.
-                    for (int look = 0; !answer.equals("-ERR draining\r\n"); look++) {
-                        assertEquals(answer, "+PONG\r\n");
-                        assertTrue(look < MOST_LOOKS, "the drain never took");
-                        answer = say(other, ping, 15);
-                    }
-                }
-                // The kept connection owes nothing, so the gateway closes it: the terminal reads its end.
-                assertEquals(kept.getInputStream().read(), -1);
-            }
-            vertx.runOnContext(told -> front.sendAway(false));
-            try (Socket again = new Socket("127.0.0.1", at)) {
-                again.setSoTimeout(20_000);
-                String answer = say(again, ping, 7);
-                // The undrain may come a moment after this connection; then PING says no once more, and again later.
-                for (int look = 0; !answer.equals("+PONG\r\n"); look++) {
-                    assertEquals(answer, "-ERR draining\r\n");
-                    assertTrue(look < MOST_LOOKS, "the undrain never took");
-                    answer = say(again, ping, 7);
-                }
+        try (Socket kept = connect()) {
+            assertEquals(say(kept, PING, 7), "+PONG\r\n");
+            vertx.runOnContext(told -> front.sendAway(true));
+            try (Socket other = connect()) {
+                untilSays(other, "-ERR draining\r\n", "+PONG\r\n", "the drain never took");
             }
-        } finally {
-            vertx.close();
+            // The kept connection owes nothing, so the gateway closes it: the terminal reads its end.
+            assertEquals(kept.getInputStream().read(), -1);
+        }
+        vertx.runOnContext(told -> front.sendAway(false));
+        try (Socket again = connect()) {
+            untilSays(again, "+PONG\r\n", "-ERR draining\r\n", "the undrain never took");
         }
     }
 
     @Test
     public void aRequestOfAnUnknownClassFailsAndCountsInThatClass() throws Exception {
-        Vertx vertx = Vertx.vertx();
-        try {
-            CompletableFuture<Gateway> made = new CompletableFuture<>();
-            CompletableFuture<Integer> port = new CompletableFuture<>();
-            vertx.runOnContext(start -> {
-                Gateway gateway = new Gateway(vertx, new Clock(), Facts.settings(), 1, new NoLinks());
-                Phases phases = new Phases();
-                phases.enter(Phases.Phase.SERVING);
-                new RespFront(vertx, gateway, phases, 64).listen(new Endpoint("127.0.0.1", 0))
-                        .onSuccess(port::complete);
-                made.complete(gateway);
-            });
-            Gateway gateway = made.get(10, TimeUnit.SECONDS);
-            String marks = "c=battery-update-ii,t=basis,d=100,units=1,spread=1,first=0";
-            String query = "*4\r\n$9\r\nSVC.QUERY\r\n$16\r\n00000000000000a1\r\n$16\r\n00000000000000b2\r\n$"
-                    + marks.length() + "\r\n" + marks + "\r\n";
-            try (Socket terminal = new Socket("127.0.0.1", port.get(10, TimeUnit.SECONDS))) {
-                terminal.setSoTimeout(20_000);
-                assertEquals(say(terminal, query, 64), "-ERR unknown class\r\n");
-            }
-            assertTrue(gateway.metrics().lines().lines().toList()
-                    .contains("gateway.failure.battery-update-ii:1|c"), gateway.metrics().lines());
-        } finally {
-            vertx.close();
+        String marks = "c=battery-update-ii,t=basis,d=100,units=1,spread=1,first=0";
+        String query = "*4\r\n$9\r\nSVC.QUERY\r\n$16\r\n00000000000000a1\r\n$16\r\n00000000000000b2\r\n$"
+                + marks.length() + "\r\n" + marks + "\r\n";
+        try (Socket terminal = connect()) {
+            assertEquals(say(terminal, query, 64), "-ERR unknown class\r\n");
+        }
+        assertTrue(gateway.metrics().lines().lines().toList()
+                .contains("gateway.failure.battery-update-ii:1|c"), gateway.metrics().lines());
+    }
+
+    private Socket connect() throws Exception {
+        Socket socket = new Socket("127.0.0.1", port);
+        socket.setSoTimeout(20_000);
+        return socket;
+    }
+
+    /**
+     * PINGs until the answer is the one wanted. The operator's word reaches the event loop a moment after it was given,
+     * so until then the answer may be the one from before, and nothing else.
+     */
+    private static void untilSays(Socket socket, String wanted, String before, String never) throws Exception {
+        String answer = say(socket, PING, 15);
+        for (int look = 0; !answer.equals(wanted); look++) {
+            assertEquals(answer, before);
+            assertTrue(look < MOST_LOOKS, never);
+            answer = say(socket, PING, 15);
         }
     }
 
