Bound the start's rehearsal by one budget of 2.5 s that all its waits share

Change: gateway/Budget, a span of time by a clock given to it; Rehearsal.play takes one and leaves what has not closed by then to close by itself.

--- a/gateway/src/main/java/opalcove/platform/Rehearsal.java
+++ b/gateway/src/main/java/opalcove/platform/Rehearsal.java
@@ -27,6 +27,7 @@
 import opalcove.decision.Admission;
 import opalcove.gateway.AppNode;
 import opalcove.gateway.Ask;
+import opalcove.gateway.Budget;
 import opalcove.gateway.Clock;
 import opalcove.gateway.Gateway;
 import opalcove.gateway.LinkPool;
@@ -56,18 +57,18 @@
     }
 
     /**
-     * Plays for so long at most and then closes the Vert.x instance, made only if there is a play; a failure costs nothing
-     * but time. Gives the number of asks that were answered.
+     * Plays and closes the Vert.x instance, made only if there is a play, all within the budget; what has not closed by
+     * then closes by itself. A failure costs nothing but time. Gives the number of asks that were answered.
      */
-    public static int play(Supplier<Vertx> loop, Admission.Settings settings, long mostMs) {
+    public static int play(Supplier<Vertx> loop, Admission.Settings settings, Budget budget) {
         Rehearsal rehearsal = new Rehearsal(settings);
         try {
             Path folder = Files.createTempDirectory("rehearsal");
             Path node = folder.resolve("node");
             Path front = folder.resolve("front");
-            if (!reached(node)) {
+            if (budget.leftMs() == 0 || !reached(node)) {
                 Files.delete(folder);
-                Logger.info("no rehearsal: nobody is reached at a UNIX socket here");
+                Logger.info("no rehearsal: nobody is reached at a UNIX socket here, or there is no time");
                 return 0;
             }
             Vertx vertx = loop.get();
@@ -75,15 +76,19 @@
                 vertx.runOnContext(start -> rehearsal.open(vertx,
                         SocketAddress.domainSocketAddress(node.toString()),
                         SocketAddress.domainSocketAddress(front.toString())).onFailure(rehearsal.played::tryFail));
-                rehearsal.end(mostMs);
+                rehearsal.end(budget);
             } finally {
-                vertx.close().toCompletionStage().toCompletableFuture().get(mostMs, TimeUnit.MILLISECONDS);
-                for (Path each : List.of(node, front, folder)) {
-                    Files.deleteIfExists(each);
+                Future<Void> closed = vertx.close();
+                try {
+                    closed.toCompletionStage().toCompletableFuture().get(budget.leftMs(), TimeUnit.MILLISECONDS);
+                } finally {
+                    for (Path each : List.of(node, front, folder)) {
+                        Files.deleteIfExists(each);
+                    }
                 }
             }
         } catch (TimeoutException e) {
-            Logger.debug("the rehearsal did not end");
+            Logger.info("the rehearsal did not end in its time");
         } catch (IOException | ExecutionException e) {
             Logger.warn("no rehearsal: {}", e.getMessage());
         } catch (InterruptedException e) {
@@ -111,17 +116,17 @@
     }
 
     /**
-     * Waits for the end of the play, or ends it when its time is over: asks no more, and waits for what is under way.
-     * Guards the log and the close against lines that are still being dialled to a node that closes.
+     * Waits for the end of the play, or ends it when three quarters of what is left are over: asks no more, and waits for
+     * what is under way. Guards the log and the close against lines that are still being dialled to a node that closes.
      */
-    private void end(long mostMs) throws ExecutionException, InterruptedException, TimeoutException {
+    private void end(Budget budget) throws ExecutionException, InterruptedException, TimeoutException {
         CompletableFuture<Void> over = played.future().toCompletionStage().toCompletableFuture();
         try {
-            over.get(mostMs, TimeUnit.MILLISECONDS);
+            over.get(budget.leftMs() * 3 / 4, TimeUnit.MILLISECONDS);
         } catch (TimeoutException e) {
             Logger.debug("the rehearsal took its time");
             most = 0;
-            over.get(mostMs, TimeUnit.MILLISECONDS);
+            over.get(budget.leftMs() / 2, TimeUnit.MILLISECONDS);
         }
     }
 
--- a/gateway/src/main/java/opalcove/platform/Serve.java
+++ b/gateway/src/main/java/opalcove/platform/Serve.java
@@ -6,6 +6,7 @@
 import java.util.SplittableRandom;
 import java.util.concurrent.TimeUnit;
 import opalcove.gateway.BadSettings;
+import opalcove.gateway.Budget;
 import opalcove.gateway.Clock;
 import opalcove.gateway.Gateway;
 import opalcove.gateway.LinkPool;
@@ -17,8 +18,11 @@
 public final class Serve {
     /** How long to wait for discovery's first answer before the list known from before, if any, must do, ms. */
     private static final long FIRST_LIST_MS = 1000;
-    /** How long the rehearsal may take, ms; it is over sooner on a whole core. */
-    private static final long REHEARSAL_MS = 4000;
+    /**
+     * How long the rehearsal may take with all its waits, ms; it is over sooner on a whole core. The platform allows a
+     * start 6 s to its yes, of which the machine may take its part first.
+     */
+    private static final long REHEARSAL_MS = 2500;
 
     private Serve() {
     }
@@ -37,7 +41,8 @@
                 Runtime.getRuntime().halt(1);
             });
         }
-        Logger.info("rehearsed {} asks", Rehearsal.play(Program::eventLoop, config.settings(), REHEARSAL_MS));
+        Logger.info("rehearsed {} asks", Rehearsal.play(Program::eventLoop, config.settings(),
+                Budget.ofMs(REHEARSAL_MS)));
         Program program = new Program();
         program.start(vertx -> {
             LinkPool links = new LinkPool(vertx, config.settings(), new RespDialler(vertx, config.settings()),
--- a/gateway/src/test/java/opalcove/platform/RehearsalTest.java
+++ b/gateway/src/test/java/opalcove/platform/RehearsalTest.java
@@ -5,20 +5,59 @@
 import static org.testng.Assert.assertTrue;
 
 import io.vertx.core.Vertx;
+import io.vertx.core.VertxOptions;
 import java.nio.file.Files;
 import java.nio.file.Path;
+import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicLong;
 import java.util.stream.Stream;
 import opalcove.Facts;
+import opalcove.gateway.Budget;
 import org.testng.annotations.Test;
 
 public class RehearsalTest {
     @Test
     public void allItsAsksAreAnsweredAndItLeavesNothing() throws Exception {
         long before = folders();
-        assertEquals(Rehearsal.play(Vertx::vertx, Facts.settings(), 60_000), Rehearsal.ASKS);
+        assertEquals(Rehearsal.play(Vertx::vertx, Facts.settings(), Budget.ofMs(60_000)), Rehearsal.ASKS);
         assertEquals(folders(), before);
     }
 
+    @Test
+    public void aBudgetThatIsOverPlaysNothing() {
+        assertEquals(Rehearsal.play(() -> {
+            throw new AssertionError("no event loop is made for no play");
+        }, Facts.settings(), new Budget(0, () -> 7)), 0);
+    }
+
+    @Test
+    public void allWaitsOfAPlayThatStandsStillShareOneBudget() throws Exception {
+        // Each look at the clock finds 10 ms gone, whatever the wait was: after three looks the budget is over.
+        AtomicLong looks = new AtomicLong();
+        Budget budget = new Budget(30, () -> TimeUnit.MILLISECONDS.toNanos(10 * looks.getAndIncrement()));
+        CountDownLatch heldUp = new CountDownLatch(1);
+        Vertx vertx = Vertx.vertx(new VertxOptions().setEventLoopPoolSize(1));
+        try {
+            assertEquals(Rehearsal.play(() -> {
+                // The loop that the play is to run on is held up till after its end: no ask can be answered.
+                vertx.runOnContext(held -> hold(heldUp));
+                return vertx;
+            }, Facts.settings(), budget), 0);
+        } finally {
+            heldUp.countDown();
+        }
+        assertEquals(budget.leftMs(), 0);
+    }
+
+    private static void hold(CountDownLatch until) {
+        try {
+            until.await();
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+        }
+    }
+
     @Test
     public void whereNoSocketCanBeMadeThereIsNoPlay() throws Exception {
         Path tooLong = Path.of(System.getProperty("java.io.tmpdir"), "x".repeat(200));
