Pass values over 64 KiB on while they come, with back-pressure

Change: RespReader passes on a first item too long to be gathered; LongValue joins the line to the terminal, which says when to read on (16 KiB at a time, 32 KiB may wait); Gateway binds the ask to that attempt, tells the module it is served at the value's start, and its figures at the end (Admission.settled); a value that is cut ends its terminal's connection and counts as failed. LongValueTest: first bytes before the node gave the rest, back-pressure, a cut, a terminal that leaves.

--- a/decision/src/main/java/opalcove/decision/Admission.java
+++ b/decision/src/main/java/opalcove/decision/Admission.java
@@ -131,6 +131,12 @@
     /** An attempt ended. */
     void outcome(double now, Outcome outcome);
 
+    /**
+     * Figures that came after their attempt's outcome was told, as at the end of a long value: usedPercent below 0 and
+     * trueUnits 0 where none came.
+     */
+    void settled(double now, Request request, int usedPercent, double trueUnits);
+
     /** A streamed answer began: the attempt is the client's now. */
     void began(double now, String id, int attempt);
 
--- a/decision/src/main/java/opalcove/decision/Policy.java
+++ b/decision/src/main/java/opalcove/decision/Policy.java
@@ -39,11 +39,9 @@
     private final Hosts hosts;
     private final double[] usual;
     private final double[] budgets = new double[4], votes = new double[4];
-    private double now;
-    private long random;
-    private long serial;
+    private double now, copies;
+    private long random, serial;
     private boolean pumping;
-    private double copies;
     /**
      * Guards against the gateway's own want of processor read as slow hosts: answers that lay unread looked
      * late, and room was bounded at next to nothing for half a minute. Meanwhile ages tell nothing.
@@ -131,10 +129,7 @@
         split.out--;
         f.customer.open--;
         hosts.ended(a, o, f);
-        companion.told(f.customer, o.usedPercent());
-        if (o.trueUnits() > 0 && settings.unitsAreGuesses()) {
-            f.customer.level += f.request.units() - o.trueUnits();
-        }
+        settle(f.customer, f.request, o.usedPercent(), o.trueUnits());
         if (!f.done) split.seen(o, f);
         if (o.over()) finish(f);
         if (!f.done && f.out == 0) again(f, o.result());
@@ -142,6 +137,17 @@
         pump();
     }
 
+    @Override public void settled(double time, Request r, int usedPercent, double trueUnits) {
+        now = time;
+        Integer plan = planIndex.get(r.plan());
+        if (plan != null) settle(companion.customer(r, plan), r, usedPercent, trueUnits);
+    }
+
+    private void settle(Customer c, Request r, int usedPercent, double trueUnits) {
+        companion.told(c, usedPercent);
+        if (trueUnits > 0 && settings.unitsAreGuesses()) c.level += r.units() - trueUnits;
+    }
+
     @Override public void began(double time, String id, int attempt) {
         now = time;
         Flight f = flights.get(id);
@@ -154,8 +160,7 @@
         if (f != null) close(f);
     }
 
-    @Override
-    public void probed(double time, String host, CallResult result, double elapsedMs, double[] load) {
+    @Override public void probed(double time, String host, CallResult result, double elapsedMs, double[] load) {
         now = time;
         hosts.probed(host, result, load);
     }
@@ -515,10 +520,7 @@
 
         Customer customer(Request r, int plan) {
             Customer c = customers.get(r.customer());
-            if (c == null) {
-                c = new Customer(settings.plans().get(plan), plan, r.gateways(), now);
-                customers.put(r.customer(), c);
-            }
+            if (c == null) customers.put(r.customer(), c = new Customer(settings.plans().get(plan), plan, r.gateways(), now));
             if (c.span <= 0) fade(c, 1);
             return c;
         }
--- a/gateway/src/main/java/opalcove/gateway/Gateway.java
+++ b/gateway/src/main/java/opalcove/gateway/Gateway.java
@@ -98,6 +98,14 @@
         /** The one final answer. Its value is lent: it holds for the time of this call, and who keeps it copies it. */
         void answered(Answer answer);
 
+        /**
+         * The final answer has begun: a long value, which the asker takes from now on; false where it cannot. No answer
+         * follows; the ask is over with the value's end.
+         */
+        default boolean passes(LongValue value) {
+            return false;
+        }
+
         /** The ask is over and nothing of it will be written any more: what it holds may be let go. */
         default void settled() { }
     }
@@ -146,7 +154,7 @@
 
     /** Does what the module chose; what it chooses for a life that is over has no effect. */
     private void follow(Life life, Life.Step step) {
-        if (life.over) {
+        if (life.over || life.passing != null) {
             return;
         }
         if (step instanceof Life.Step.Final end) {
@@ -173,10 +181,12 @@
     }
 
     private void askModule(Life life) {
-        Ask ask = life.ask;
-        tell(() -> life.generation.module.request(clock.now(), new Admission.Request(ask.id(), ask.requestClass(), ask.plan(),
-                ask.operator(), ask.units(), Math.max(1, ask.waitMs() - ANSWER_MARGIN_MS), ask.gateways(),
-                ask.retry())));
+        tell(() -> life.generation.module.request(clock.now(), request(life.ask)));
+    }
+
+    private static Admission.Request request(Ask ask) {
+        return new Admission.Request(ask.id(), ask.requestClass(), ask.plan(), ask.operator(), ask.units(),
+                Math.max(1, ask.waitMs() - ANSWER_MARGIN_MS), ask.gateways(), ask.retry());
     }
 
     /** One attempt: made if the rules allow it, else ended as not sent. */
@@ -198,9 +208,44 @@
                 : left, attempt);
     }
 
+    /**
+     * A long value has begun to come. It is the final answer, for what was passed on cannot be taken back: to the module
+     * the attempt is served now, whatever time the terminal takes to read, and its figures follow at the end.
+     */
+    boolean valueBegan(Life life, Life.Try attempt, LongValue value) {
+        if (!life.pass(attempt, value)) {
+            return false;
+        }
+        alarms.cancel(life.deadline());
+        double now = clock.now();
+        tell(() -> life.generation.module.outcome(now, new Admission.Outcome(life.ask.id(), attempt.node.name(),
+                attempt.number, Admission.Result.SERVED, now - attempt.sentAt, true, -1, 0, null)));
+        return true;
+    }
+
+    /** The attempt whose value was passed on has ended, the value whole or cut. */
+    private void passed(Life life, NodeEnd end) {
+        life.passing.result = end.result();
+        tell(() -> {
+            if (!life.over) {
+                close(life);
+                count(life.requestClass.name(), life.value.whole() ? new Answer.Served(null)
+                        : new Answer.Failed("cut"));
+                life.finish(null);
+            }
+            if (end.result() == Admission.Result.SERVED) {
+                life.generation.module.settled(clock.now(), request(life.ask), end.usedPercent(), end.trueUnits());
+            }
+        });
+    }
+
     /** An attempt was made and has ended. */
     void attemptEnded(Life life, Life.Try attempt, NodeEnd end) {
         counters.ended(end.result());
+        if (life.passing == attempt) {
+            passed(life, end);
+            return;
+        }
         tellEnd(life, attempt, attempt.node.name(), end);
     }
 
@@ -237,6 +282,10 @@
             return;
         }
         counters.left++;
+        if (life.passing != null) {
+            life.passing.running.giveUp();
+            return;
+        }
         end(life, () -> {
             if (!life.over) {
                 close(life);
@@ -386,7 +435,8 @@
         @Override
         public void cancel(String id, int attempt) {
             Life life = life(id);
-            if (life != null && attempt < life.tries.size() && life.tries.get(attempt).result == null) {
+            if (life != null && life.passing == null && attempt < life.tries.size()
+                    && life.tries.get(attempt).result == null) {
                 counters.cancelled++;
                 NodeLinks.Attempt running = life.tries.get(attempt).running;
                 turns.add(running::giveUp);
--- a/gateway/src/main/java/opalcove/gateway/Life.java
+++ b/gateway/src/main/java/opalcove/gateway/Life.java
@@ -33,6 +33,11 @@
             return result == null || !result.neverRan;
         }
 
+        @Override
+        public boolean began(LongValue value) {
+            return gateway.valueBegan(Life.this, this, value);
+        }
+
         @Override
         public void ended(NodeEnd end) {
             gateway.attemptEnded(Life.this, this, end);
@@ -45,6 +50,9 @@
     final Admission.RequestClass requestClass;
     final double takenAt;
     final List<Try> tries = new ArrayList<>(2);
+    /** The attempt whose long value is being passed on: the ask is bound to it, and its deadline has been met. */
+    Try passing;
+    LongValue value;
     boolean over;
     private final Gateway gateway;
     private final Gateway.Asker asker;
@@ -77,6 +85,16 @@
         gateway.leave(this);
     }
 
+    /** Hands a long value on; tells whether the terminal's side takes it. */
+    boolean pass(Try attempt, LongValue begun) {
+        if (over || passing != null || attempt.result != null || !asker.passes(begun)) {
+            return false;
+        }
+        passing = attempt;
+        value = begun;
+        return true;
+    }
+
     /** Ends the life with an answer, or with none for a terminal that left. */
     void finish(Answer answer) {
         over = true;
--- a/gateway/src/main/java/opalcove/gateway/LinkPool.java
+++ b/gateway/src/main/java/opalcove/gateway/LinkPool.java
@@ -53,6 +53,9 @@
 
         /** Hears of a line. */
         interface User {
+            /** A long value has begun to come in reply to the attempt; tells whether it is taken. */
+            boolean began(LongValue value);
+
             /** The node's reply to an attempt. What cannot be read ends the line: that attempt may have run. */
             void replied(NodeEnd end);
 
@@ -246,6 +249,11 @@
             line.attach(this);
         }
 
+        @Override
+        public boolean began(LongValue value) {
+            return user != null && !user.givenUp && user.waiting.began(value);
+        }
+
         @Override
         public void replied(NodeEnd end) {
             Carried done = user;
--- a/gateway/src/main/java/opalcove/gateway/NodeLinks.java
+++ b/gateway/src/main/java/opalcove/gateway/NodeLinks.java
@@ -10,6 +10,14 @@
 
     /** Who waits for the end of an attempt. */
     interface Ended {
+        /**
+         * A long value has begun to come, before the end; tells whether it is taken. Where it is not, the link ends as one
+         * that cannot be read.
+         */
+        default boolean began(LongValue value) {
+            return false;
+        }
+
         /**
          * Comes once, perhaps before the call that starts the attempt has returned. A value is lent: it holds for the
          * time of this call, and who keeps it copies it.
--- a/gateway/src/main/java/opalcove/platform/RawSocket.java
+++ b/gateway/src/main/java/opalcove/platform/RawSocket.java
@@ -2,12 +2,14 @@
 
 import io.netty.buffer.ByteBuf;
 import io.netty.buffer.Unpooled;
+import io.netty.channel.AdaptiveRecvByteBufAllocator;
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelFuture;
 import io.netty.channel.ChannelFutureListener;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInboundHandlerAdapter;
 import io.netty.channel.ChannelPromise;
+import io.netty.channel.WriteBufferWaterMark;
 import io.netty.channel.nio.AbstractNioChannel;
 import io.netty.channel.socket.DuplexChannel;
 import io.vertx.core.Handler;
@@ -76,6 +78,15 @@
         dropBatch();
     }
 
+    /**
+     * Reads at most so many bytes at a time, and calls itself writable while no more than twice as many wait to leave.
+     * Guards memory where long values are passed on. A limit on reads has to be set before the first of them.
+     */
+    void portions(int bytes) {
+        channel.channel().config().setRecvByteBufAllocator(new AdaptiveRecvByteBufAllocator(64, 2048, bytes))
+                .setWriteBufferWaterMark(new WriteBufferWaterMark(bytes, 2 * bytes));
+    }
+
     /** Whether the socket is read. What has been read already is handed over all the same. */
     void reads(boolean yes) {
         channel.channel().config().setAutoRead(yes);
--- a/gateway/src/main/java/opalcove/platform/RespDialler.java
+++ b/gateway/src/main/java/opalcove/platform/RespDialler.java
@@ -12,6 +12,7 @@
 import opalcove.gateway.Ask;
 import opalcove.gateway.Endpoint;
 import opalcove.gateway.LinkPool;
+import opalcove.gateway.LongValue;
 import opalcove.gateway.NodeEnd;
 import org.tinylog.Logger;
 
@@ -19,6 +20,11 @@
 public final class RespDialler implements LinkPool.Dialler {
     /** How long an answer may stand still once it has begun, ms. */
     private static final long STALL_MS = 300;
+    /** How long a value that is passed on may stand still while it is read, and while its terminal takes nothing, ms. */
+    private static final long VALUE_STALL_MS = 5000;
+    private static final long TERMINAL_STALL_MS = 30_000;
+    /** What of a long value is read at a time, bytes. */
+    static final int PORTION = 16 * 1024;
 
     private final Vertx vertx;
     private final Function<String, SocketAddress> place;
@@ -46,16 +52,22 @@
         return client.connect(place.apply(address)).map(RespLine::new);
     }
 
-    private final class RespLine implements LinkPool.Line, RawSocket.User, RespReader.User {
+    private final class RespLine implements LinkPool.Line, RawSocket.User, RespReader.User, LongValue {
         private final NetSocket socket;
         private final RawSocket raw;
         private final RespReader reader = new RespReader(NodeReply.PARTS, this);
         private User user;
         private long stall = -1;
+        /** Who takes the long value that is coming, and what is known of it. */
+        private Sink sink;
+        private int length;
+        private boolean whole;
+        private boolean paused;
 
         RespLine(NetSocket socket) {
             this.socket = socket;
             raw = new RawSocket(socket, true, this);
+            raw.portions(PORTION);
         }
 
         @Override
@@ -67,6 +79,9 @@
                 cancelStall();
                 // An attempt that still waited for the end of this turn has not been sent, whoever ended the line.
                 raw.dropUnsent();
+                if (sink != null && !whole) {
+                    sink.cut();
+                }
                 user.gone();
             });
         }
@@ -85,6 +100,7 @@
         @Override
         public void value(RespReader reply) {
             NodeEnd end = replies.read(reply);
+            sink = null;
             if (end == null) {
                 broken("an answer of no known form");
             } else {
@@ -99,7 +115,59 @@
         private void watchStall() {
             cancelStall();
             if (reader.within()) {
-                stall = vertx.setTimer(STALL_MS, due -> broken("an answer without an end"));
+                boolean passing = sink != null && !whole;
+                stall = vertx.setTimer(passing ? paused ? TERMINAL_STALL_MS : VALUE_STALL_MS : STALL_MS,
+                        due -> broken("an answer without an end"));
+            }
+        }
+
+        @Override
+        public boolean began(int bytes) {
+            length = bytes;
+            whole = false;
+            return user.began(this);
+        }
+
+        @Override
+        public int length() {
+            return length;
+        }
+
+        @Override
+        public void to(Sink taker) {
+            sink = taker;
+        }
+
+        @Override
+        public void part(ByteBuf bytes) {
+            sink.part(bytes);
+        }
+
+        @Override
+        public void partsEnded() {
+            whole = true;
+            sink.whole();
+            // What follows the value is read whatever its terminal does.
+            readOn(true);
+        }
+
+        @Override
+        public boolean whole() {
+            return whole;
+        }
+
+        @Override
+        public void reads(boolean yes) {
+            if (!whole) {
+                readOn(yes);
+            }
+        }
+
+        private void readOn(boolean yes) {
+            if (paused == yes) {
+                paused = !yes;
+                raw.reads(yes);
+                watchStall();
             }
         }
 
--- a/gateway/src/main/java/opalcove/platform/RespFront.java
+++ b/gateway/src/main/java/opalcove/platform/RespFront.java
@@ -21,6 +21,7 @@
 import opalcove.gateway.Ask;
 import opalcove.gateway.Endpoint;
 import opalcove.gateway.Gateway;
+import opalcove.gateway.LongValue;
 import opalcove.gateway.Marks;
 import opalcove.gateway.Metrics;
 import opalcove.gateway.Phases;
@@ -159,13 +160,17 @@
     }
 
     /** One command, and room for its answer. */
-    private final class Slot implements Gateway.Asker {
+    private final class Slot implements Gateway.Asker, LongValue.Sink {
         private final Terminal terminal;
         private Gateway.UnderWay ask;
         private ByteBuf body;
         private boolean answered;
         /** The answer's bytes, where its turn has not come. */
         private ByteBuf aside;
+        /** A long value that answers it, whether it is being written, and its parts that came before their turn. */
+        private LongValue value;
+        private boolean flowing;
+        private final Deque<ByteBuf> early = new ArrayDeque<>(0);
 
         Slot(Terminal terminal) {
             this.terminal = terminal;
@@ -176,6 +181,63 @@
             terminal.answer(this, answer);
         }
 
+        @Override
+        public boolean passes(LongValue begun) {
+            if (terminal.closing) {
+                return false;
+            }
+            value = begun;
+            begun.to(this);
+            terminal.flowIfFirst();
+            // Before its turn, or while its terminal is slow, a value waits at its node.
+            begun.reads(flowing && terminal.raw.isWritable());
+            return true;
+        }
+
+        @Override
+        public void part(ByteBuf bytes) {
+            if (terminal.closing) {
+                bytes.release();
+            } else if (flowing) {
+                terminal.raw.pass(bytes);
+                value.reads(terminal.raw.isWritable());
+            } else {
+                early.add(bytes);
+            }
+        }
+
+        @Override
+        public void whole() {
+            if (flowing && !terminal.closing) {
+                terminal.valueEnded(this);
+            }
+        }
+
+        @Override
+        public void cut() {
+            ask = null;
+            if (terminal.closing) {
+                return;
+            }
+            if (flowing) {
+                Logger.warn("a value was cut off by its app node");
+                terminal.cut();
+            } else {
+                drop();
+                terminal.line(this, "-ERR failed");
+            }
+        }
+
+        /** Lets go of bytes whose turn will not come. */
+        void drop() {
+            if (aside != null) {
+                aside.release();
+                aside = null;
+            }
+            early.forEach(ByteBuf::release);
+            early.clear();
+        }
+
         @Override
         public void settled() {
             if (body != null) {
@@ -329,10 +391,41 @@
                 next.aside = null;
             }
             lastUsed = System.nanoTime();
+            flowIfFirst();
             closeIfIdle();
             resumeIfDrained();
         }
 
+        /** Writes on with the long value whose turn has come, if it is one's. */
+        void flowIfFirst() {
+            Slot first = slots.peek();
+            if (first == null || first.value == null || first.flowing) {
+                return;
+            }
+            first.flowing = true;
+            raw.portions(RespDialler.PORTION);
+            Resp.head(raw.room(Resp.HEAD), '$', first.value.length());
+            for (ByteBuf part = first.early.poll(); part != null; part = first.early.poll()) {
+                raw.pass(part);
+            }
+            if (first.value.whole()) {
+                valueEnded(first);
+            } else {
+                first.value.reads(raw.isWritable());
+            }
+        }
+
+        void valueEnded(Slot slot) {
+            raw.passLineEnd();
+            answered(slot);
+        }
+
+        /** Ends the connection amid a value: that it ends is how its terminal can tell that the value is not whole. */
+        void cut() {
+            part();
+            dropSlots();
+        }
+
         /**
          * An error in the command's place. Guards the processor against a terminal that sends the same again the moment
          * it is turned away: for a while nothing more is read from it.
@@ -359,6 +452,10 @@
 
         @Override
         public void writable() {
+            Slot first = slots.peek();
+            if (first != null && first.flowing) {
+                first.value.reads(raw.isWritable());
+            }
             resumeIfDrained();
         }
 
@@ -431,16 +528,17 @@
             reader.stop();
             terminals.remove(this);
             farewells.remove(this);
+            dropSlots();
+            checkEmpty();
+        }
+
+        private void dropSlots() {
             for (Slot slot = slots.poll(); slot != null; slot = slots.poll()) {
-                if (slot.aside != null) {
-                    slot.aside.release();
-                    slot.aside = null;
-                }
+                slot.drop();
                 if (slot.ask != null) {
                     slot.ask.leave();
                 }
             }
-            checkEmpty();
         }
     }
 }
--- a/gateway/src/main/java/opalcove/platform/RespReader.java
+++ b/gateway/src/main/java/opalcove/platform/RespReader.java
@@ -12,7 +12,10 @@
  * lines or strings; of one with arrays in it, only that it came.
  */
 final class RespReader {
+    /** The longest string that is gathered; a longer one is passed on while it comes, where its user takes it. */
     static final int MOST_BYTES = 64 * 1024;
+    /** The longest string that is passed on. */
+    static final int MOST_PASSED = 64 * 1024 * 1024;
     private static final int MOST_LINE = 4 * 1024;
     private static final int MOST_DEPTH = 3;
     private static final int SPARE = 64;
@@ -22,6 +25,22 @@
         /** A value has come; it can be looked at during this call. */
         void value(RespReader value);
 
+        /**
+         * A string of that many bytes, too long to be gathered, begins as the first item of an array; tells whether its
+         * parts are taken. Once they have all come the array is told as any other, with an empty string in that place.
+         */
+        default boolean began(int length) {
+            return false;
+        }
+
+        /** The next bytes of such a string; they are the user's to release. */
+        default void part(ByteBuf bytes) {
+            bytes.release();
+        }
+
+        /** All parts have come. */
+        default void partsEnded() { }
+
         /** What came is no RESP2, or larger than is taken here; comes once, and nothing after it. */
         void broken(String reason);
     }
@@ -42,6 +61,8 @@
     private int sought;
     /** The length of the string that is being read, or -1. */
     private int bulk = -1;
+    /** Bytes still to come of a string that is passed on, or -1. While some are, all that came is looked at. */
+    private int passing = -1;
     private byte kind;
     private int count;
     private boolean flat = true;
@@ -63,6 +84,13 @@
             more.release();
             return;
         }
+        if (passing > 0) {
+            pass(more);
+            if (stopped || !more.isReadable()) {
+                more.release();
+                return;
+            }
+        }
         if (bytes == null) {
             bytes = more;
             at = sought = more.readerIndex();
@@ -178,9 +206,22 @@
         }
     }
 
+    /** Passes on what this buffer has of the long string, from its read index on. */
+    private void pass(ByteBuf from) {
+        int part = Math.min(passing, from.readableBytes());
+        passing -= part;
+        if (part > 0) {
+            user.part(from.readRetainedSlice(part));
+        }
+    }
+
     private void parse() {
         while (!stopped && bytes != null) {
-            if (bulk >= 0) {
+            if (passing >= 0) {
+                if (!passes()) {
+                    return;
+                }
+            } else if (bulk >= 0) {
                 if (bytes.writerIndex() - at < bulk + 2) {
                     return;
                 }
@@ -212,6 +253,28 @@
         return -1;
     }
 
+    /** Goes on with a string that is passed on; false where more of it has to come. */
+    private boolean passes() {
+        if (passing > 0) {
+            bytes.readerIndex(at);
+            pass(bytes);
+            at = sought = bytes.readerIndex();
+        }
+        if (passing > 0 || stopped || bytes.writerIndex() - at < 2) {
+            return false;
+        }
+        passing = -1;
+        int start = at;
+        if (bytes.getByte(start) != '\r' || bytes.getByte(start + 1) != '\n') {
+            fail("a bulk string is longer than announced");
+            return false;
+        }
+        user.partsEnded();
+        at = sought = start + 2;
+        item((byte) '$', start, 0);
+        return true;
+    }
+
     private void string() {
         int length = bulk;
         int start = at;
@@ -235,11 +298,16 @@
         at = sought = end + 2;
         switch (mark) {
             case '$' -> {
-                int bulkLength = number(start + 1, end, MOST_BYTES);
+                boolean passable = depth == 1 && count == 0;
+                int bulkLength = number(start + 1, end, passable ? MOST_PASSED : MOST_BYTES);
                 if (bulkLength == -1) {
                     item(mark, start, -1);
-                } else {
+                } else if (bulkLength <= MOST_BYTES) {
                     bulk = bulkLength;
+                } else if (user.began(bulkLength)) {
+                    passing = bulkLength;
+                } else {
+                    fail("a string of " + bulkLength + " bytes is not taken here");
                 }
             }
             case '*' -> array(number(start + 1, end, mostItems));
--- /dev/null
+++ b/gateway/src/test/java/opalcove/platform/LongValueTest.java
@@ -0,0 +1,254 @@
+package opalcove.platform;
+
+import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertFalse;
+import static org.testng.Assert.assertTrue;
+
+import io.netty.buffer.Unpooled;
+import io.vertx.core.Vertx;
+import java.io.InputStream;
+import java.io.OutputStream;
+import java.net.InetAddress;
+import java.net.ServerSocket;
+import java.net.Socket;
+import java.nio.charset.StandardCharsets;
+import java.util.Arrays;
+import java.util.List;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.TimeUnit;
+import opalcove.Facts;
+import opalcove.decision.Admission;
+import opalcove.gateway.AppNode;
+import opalcove.gateway.Ask;
+import opalcove.gateway.Clock;
+import opalcove.gateway.Endpoint;
+import opalcove.gateway.Gateway;
+import opalcove.gateway.LinkPool;
+import opalcove.gateway.LongValue;
+import opalcove.gateway.NodeEnd;
+import opalcove.gateway.NodeLinks;
+import opalcove.gateway.Phases;
+import org.testng.annotations.AfterMethod;
+import org.testng.annotations.BeforeMethod;
+import org.testng.annotations.Test;
+
+/** Long values on the platform's front: passed on while they come, held back for a slow terminal, cut with their line. */
+public class LongValueTest {
+    private static final int LENGTH = 1 << 20;
+    private static final String HEAD = "$" + LENGTH + "\r\n";
+    private static final String MARKS = "c=slot-status,t=start,d=4000,units=1,spread=1,first=0";
+
+    private Vertx vertx;
+    private HeldLinks held;
+
+    @BeforeMethod
+    public void open() {
+        vertx = Vertx.vertx();
+        held = new HeldLinks();
+    }
+
+    @AfterMethod
+    public void close() {
+        vertx.close();
+    }
+
+    @Test
+    public void itsFirstBytesComeBeforeItsNodeHasGivenTheRestAndItComesWhole() throws Exception {
+        byte[] value = new byte[LENGTH];
+        for (int i = 0; i < LENGTH; i++) {
+            value[i] = (byte) ('a' + i % 23);
+        }
+        CountDownLatch begunAtTerminal = new CountDownLatch(1);
+        try (ServerSocket node = new ServerSocket(0, 8, InetAddress.getLoopbackAddress())) {
+            CompletableFuture<Void> given = CompletableFuture.runAsync(() -> give(node, value, begunAtTerminal));
+            Admission.Settings settings = Facts.settings();
+            int port = front("127.0.0.1:" + node.getLocalPort(),
+                    new LinkPool(vertx, settings, new RespDialler(vertx, settings), 8));
+            try (Socket terminal = ask(port)) {
+                InputStream in = terminal.getInputStream();
+                assertEquals(text(in, HEAD.length()), HEAD);
+                byte[] got = Arrays.copyOf(in.readNBytes(1000), LENGTH);
+                begunAtTerminal.countDown();
+                assertEquals(in.readNBytes(got, 1000, LENGTH - 1000), LENGTH - 1000);
+                assertTrue(Arrays.equals(got, value), "the value as its node gave it");
+                assertEquals(text(in, 2), "\r\n");
+                say(terminal, "*1\r\n$4\r\nPING\r\n");
+                assertEquals(text(in, 7), "+PONG\r\n");
+            }
+            given.get(10, TimeUnit.SECONDS);
+        }
+    }
+
+    @Test
+    public void aSlowTerminalHoldsItsValueBackAtTheNodeAndLetsItOnOnceItReads() throws Exception {
+        try (Socket terminal = ask(front("127.0.0.1:1", held))) {
+            FakeValue value = new FakeValue();
+            NodeLinks.Ended attempt = held.attempt.get(10, TimeUnit.SECONDS);
+            onLoop(() -> {
+                assertTrue(attempt.began(value));
+                assertTrue(value.reads);
+                // Nothing leaves within this turn: as at a terminal that does not read.
+                value.sink.part(Unpooled.wrappedBuffer(new byte[RespDialler.PORTION]));
+                assertTrue(value.reads);
+                value.sink.part(Unpooled.wrappedBuffer(new byte[2 * RespDialler.PORTION]));
+                assertFalse(value.reads, "no more is read while that much waits to leave");
+            });
+            InputStream in = terminal.getInputStream();
+            assertEquals(text(in, HEAD.length()), HEAD);
+            assertEquals(in.readNBytes(3 * RespDialler.PORTION).length, 3 * RespDialler.PORTION);
+            value.readOn.get(10, TimeUnit.SECONDS);
+        }
+    }
+
+    @Test
+    public void aValueCutOffByItsNodeEndsTheConnectionAndCountsAsFailed() throws Exception {
+        try (Socket terminal = ask(front("127.0.0.1:1", held))) {
+            FakeValue value = new FakeValue();
+            NodeLinks.Ended attempt = held.attempt.get(10, TimeUnit.SECONDS);
+            onLoop(() -> {
+                attempt.began(value);
+                value.sink.part(Unpooled.wrappedBuffer(new byte[100]));
+                assertTrue(gateway.metrics().lines().contains("gateway.inflight:1|g"), "not ended yet");
+                value.sink.cut();
+                attempt.ended(NodeEnd.silent(Admission.Result.BROKEN));
+            });
+            assertEquals(terminal.getInputStream().readAllBytes().length, HEAD.length() + 100);
+            assertTrue(gateway.metrics().lines().contains("gateway.failure.slot-status:1|c"));
+            assertTrue(gateway.metrics().lines().contains("gateway.inflight:0|g"));
+        }
+    }
+
+    @Test
+    public void aTerminalThatLeavesAmidItsValueGivesItsAttemptUp() throws Exception {
+        try (Socket terminal = ask(front("127.0.0.1:1", held))) {
+            FakeValue value = new FakeValue();
+            NodeLinks.Ended attempt = held.attempt.get(10, TimeUnit.SECONDS);
+            onLoop(() -> attempt.began(value));
+            terminal.setSoLinger(true, 0);
+        }
+        held.givenUp.get(10, TimeUnit.SECONDS);
+    }
+
+    private Gateway gateway;
+
+    /** A front whose only app node is at the address; gives the front's port. */
+    private int front(String node, NodeLinks links) throws Exception {
+        CompletableFuture<Integer> listening = new CompletableFuture<>();
+        vertx.runOnContext(start -> {
+            gateway = new Gateway(vertx, new Clock(), Facts.settings(), 1, links);
+            gateway.nodesTold(true, List.of(new AppNode(
+                    new Admission.Host("n1", "room-a", "app", 0, Admission.State.UP, 1, 0), node)));
+            Phases phases = new Phases();
+            phases.enter(Phases.Phase.SERVING);
+            new RespFront(vertx, gateway, phases, 64).listen(new Endpoint("127.0.0.1", 0))
+                    .onSuccess(listening::complete);
+        });
+        return listening.get(10, TimeUnit.SECONDS);
+    }
+
+    private static Socket ask(int port) throws Exception {
+        Socket terminal = new Socket("127.0.0.1", port);
+        terminal.setSoTimeout(20_000);
+        say(terminal, "*4\r\n$9\r\nSVC.QUERY\r\n$16\r\n00000000000000a1\r\n$16\r\n00000000000000b2\r\n$" + MARKS.length()
+                + "\r\n" + MARKS + "\r\n");
+        return terminal;
+    }
+
+    private static void say(Socket terminal, String bytes) throws Exception {
+        terminal.getOutputStream().write(bytes.getBytes(StandardCharsets.US_ASCII));
+    }
+
+    private static String text(InputStream in, int length) throws Exception {
+        return new String(in.readNBytes(length), StandardCharsets.US_ASCII);
+    }
+
+    /** An app node that gives the value's first part, and the rest once the terminal has some of it. */
+    private static void give(ServerSocket node, byte[] value, CountDownLatch goOn) {
+        try (Socket line = node.accept()) {
+            InputStream in = line.getInputStream();
+            StringBuilder command = new StringBuilder();
+            while (command.indexOf("first=0\r\n") < 0) {
+                command.append((char) in.read());
+            }
+            OutputStream out = line.getOutputStream();
+            out.write(("*3\r\n" + HEAD).getBytes(StandardCharsets.US_ASCII));
+            out.write(value, 0, 70_000);
+            goOn.await();
+            out.write(value, 70_000, LENGTH - 70_000);
+            out.write("\r\n$13\r\nused=1,cost=1\r\n$-1\r\n".getBytes(StandardCharsets.US_ASCII));
+        } catch (Exception e) {
+            throw new AssertionError(e);
+        }
+    }
+
+    private void onLoop(Runnable work) throws Exception {
+        CompletableFuture<Void> done = new CompletableFuture<>();
+        vertx.runOnContext(run -> {
+            try {
+                work.run();
+                done.complete(null);
+            } catch (Throwable e) {
+                done.completeExceptionally(e);
+            }
+        });
+        done.get(10, TimeUnit.SECONDS);
+    }
+
+    /** A value of which the test gives the parts. */
+    private static final class FakeValue implements LongValue {
+        final CompletableFuture<Void> readOn = new CompletableFuture<>();
+        Sink sink;
+        boolean reads;
+        private boolean stopped;
+
+        @Override
+        public int length() {
+            return LENGTH;
+        }
+
+        @Override
+        public void to(Sink taker) {
+            sink = taker;
+        }
+
+        @Override
+        public void reads(boolean yes) {
+            reads = yes;
+            stopped |= !yes;
+            if (yes && stopped) {
+                readOn.complete(null);
+            }
+        }
+
+        @Override
+        public boolean whole() {
+            return false;
+        }
+    }
+
+    /** Links whose attempt the test ends. */
+    private static final class HeldLinks implements NodeLinks {
+        final CompletableFuture<Ended> attempt = new CompletableFuture<>();
+        final CompletableFuture<Void> givenUp = new CompletableFuture<>();
+
+        @Override
+        public Attempt attempt(AppNode node, Ask ask, double waitMs, Ended ended) {
+            attempt.complete(ended);
+            return () -> givenUp.complete(null);
+        }
+
+        @Override
+        public void forget(AppNode node) { }
+
+        @Override
+        public int open() {
+            return 0;
+        }
+
+        @Override
+        public int resting() {
+            return 0;
+        }
+    }
+}
