--- a/decision/src/main/java/opalcove/decision/Policy.java
+++ b/decision/src/main/java/opalcove/decision/Policy.java
@@ -160,7 +160,7 @@
         if (f != null) close(f);
     }
 
-    @Override public void probed(double time, String host, CallResult result, double elapsedMs, double[] load) {
+    @Override public void probed(double time, String host, CallResult result, double tookMs, double[] load) {
         now = time;
         hosts.probed(host, result, load);
     }
@@ -491,8 +491,8 @@
         int told = -1;
         int open;
 
-        Customer(Plan plan, int pool, int gateways, double now) {
-            this.plan = plan;
+        Customer(int pool, int gateways, double now, Settings settings) {
+            plan = settings.plans().get(pool);
             this.pool = pool;
             this.gateways = Math.max(1, gateways);
             level = plan.burst() / Math.sqrt(this.gateways);
@@ -520,7 +520,7 @@
 
         Customer customer(Request r, int plan) {
             Customer c = customers.get(r.customer());
-            if (c == null) customers.put(r.customer(), c = new Customer(settings.plans().get(plan), plan, r.gateways(), now));
+            if (c == null) customers.put(r.customer(), c = new Customer(plan, r.gateways(), now, settings));
             if (c.span <= 0) fade(c, 1);
             return c;
         }
