--- a/gateway/src/main/java/opalcove/gateway/Gateway.java
+++ b/gateway/src/main/java/opalcove/gateway/Gateway.java
@@ -225,11 +225,11 @@
 
     /** The attempt whose value was passed on has ended, the value whole or cut. */
     private void passed(Life life, NodeEnd end) {
-        life.passing.result = end.result();
+        life.passing.attempt().result = end.result();
         tell(() -> {
             if (!life.over) {
                 close(life);
-                count(life.requestClass.name(), life.value.whole() ? new Answer.Served(null)
+                count(life.requestClass.name(), life.passing.value().whole() ? new Answer.Served(null)
                         : new Answer.Failed("cut"));
                 life.finish(null);
             }
@@ -242,7 +242,7 @@
     /** An attempt was made and has ended. */
     void attemptEnded(Life life, Life.Try attempt, NodeEnd end) {
         counters.ended(end.result());
-        if (life.passing == attempt) {
+        if (life.passing != null && life.passing.attempt() == attempt) {
             passed(life, end);
             return;
         }
@@ -283,7 +283,7 @@
         }
         counters.left++;
         if (life.passing != null) {
-            life.passing.running.giveUp();
+            life.passing.attempt().running.giveUp();
             return;
         }
         end(life, () -> {
--- a/gateway/src/main/java/opalcove/gateway/Life.java
+++ b/gateway/src/main/java/opalcove/gateway/Life.java
@@ -15,6 +15,9 @@
         record Final(Answer answer) implements Step { }
     }
 
+    /** A long value and the attempt that brings it. */
+    record Passing(Try attempt, LongValue value) { }
+
     /** One attempt, in the module's numbering. */
     final class Try implements NodeLinks.Ended {
         final AppNode node;
@@ -50,9 +53,8 @@
     final Admission.RequestClass requestClass;
     final double takenAt;
     final List<Try> tries = new ArrayList<>(2);
-    /** The attempt whose long value is being passed on: the ask is bound to it, and its deadline has been met. */
-    Try passing;
-    LongValue value;
+    /** The long value that is being passed on: the ask is bound to its attempt, and its deadline has been met. */
+    Passing passing;
     boolean over;
     private final Gateway gateway;
     private final Gateway.Asker asker;
@@ -90,8 +92,7 @@
         if (over || passing != null || attempt.result != null || !asker.passes(begun)) {
             return false;
         }
-        passing = attempt;
-        value = begun;
+        passing = new Passing(attempt, begun);
         return true;
     }
 
--- a/gateway/src/main/java/opalcove/platform/RawSocket.java
+++ b/gateway/src/main/java/opalcove/platform/RawSocket.java
@@ -1,6 +1,7 @@
 package opalcove.platform;
 
 import io.netty.buffer.ByteBuf;
+import io.netty.buffer.ByteBufAllocator;
 import io.netty.buffer.Unpooled;
 import io.netty.channel.AdaptiveRecvByteBufAllocator;
 import io.netty.channel.Channel;
@@ -78,13 +79,36 @@
         dropBatch();
     }
 
-    /**
-     * Reads at most so many bytes at a time, and calls itself writable while no more than twice as many wait to leave.
-     * Guards memory where long values are passed on. A limit on reads has to be set before the first of them.
-     */
-    void portions(int bytes) {
-        channel.channel().config().setRecvByteBufAllocator(new AdaptiveRecvByteBufAllocator(64, 2048, bytes))
-                .setWriteBufferWaterMark(new WriteBufferWaterMark(bytes, 2 * bytes));
+    /** Calls itself writable while no more than so many bytes wait to leave. */
+    void waitsAtMost(int bytes) {
+        channel.channel().config().setWriteBufferWaterMark(new WriteBufferWaterMark(bytes / 2, bytes));
+    }
+
+    /** Has the socket's reads be as large as the portions let them; to be told before the first read. */
+    void reads(Portions portions) {
+        portions.maxMessagesPerRead(channel.channel().metadata().defaultMaxMessagesPerRead());
+        channel.channel().config().setRecvByteBufAllocator(portions);
+    }
+
+    /** How much is read at a time: as much as comes of late, or no more than a limit while one is set. */
+    static final class Portions extends AdaptiveRecvByteBufAllocator {
+        private int most = Integer.MAX_VALUE;
+
+        /** Guards memory while long values are passed on. */
+        void limit(int bytes) {
+            most = bytes;
+        }
+
+        @Override
+        @SuppressWarnings("deprecation") // the handle's interface, whose successor has no delegating form
+        public Handle newHandle() {
+            return new DelegatingHandle(super.newHandle()) {
+                @Override
+                public ByteBuf allocate(ByteBufAllocator buffers) {
+                    return buffers.ioBuffer(Math.min(most, guess()));
+                }
+            };
+        }
     }
 
     /** Whether the socket is read. What has been read already is handed over all the same. */
--- a/gateway/src/main/java/opalcove/platform/RespDialler.java
+++ b/gateway/src/main/java/opalcove/platform/RespDialler.java
@@ -55,6 +55,7 @@
     private final class RespLine implements LinkPool.Line, RawSocket.User, RespReader.User, LongValue {
         private final NetSocket socket;
         private final RawSocket raw;
+        private final RawSocket.Portions portions = new RawSocket.Portions();
         private final RespReader reader = new RespReader(NodeReply.PARTS, this);
         private User user;
         private long stall = -1;
@@ -67,7 +68,7 @@
         RespLine(NetSocket socket) {
             this.socket = socket;
             raw = new RawSocket(socket, true, this);
-            raw.portions(PORTION);
+            raw.reads(portions);
         }
 
         @Override
@@ -125,6 +126,7 @@
         public boolean began(int bytes) {
             length = bytes;
             whole = false;
+            portions.limit(PORTION);
             return user.began(this);
         }
 
@@ -146,6 +148,7 @@
         @Override
         public void partsEnded() {
             whole = true;
+            portions.limit(Integer.MAX_VALUE);
             sink.whole();
             // What follows the value is read whatever its terminal does.
             readOn(true);
--- a/gateway/src/main/java/opalcove/platform/RespFront.java
+++ b/gateway/src/main/java/opalcove/platform/RespFront.java
@@ -160,17 +160,15 @@
     }
 
     /** One command, and room for its answer. */
-    private final class Slot implements Gateway.Asker, LongValue.Sink {
+    private final class Slot implements Gateway.Asker {
         private final Terminal terminal;
         private Gateway.UnderWay ask;
         private ByteBuf body;
         private boolean answered;
         /** The answer's bytes, where its turn has not come. */
         private ByteBuf aside;
-        /** A long value that answers it, whether it is being written, and its parts that came before their turn. */
-        private LongValue value;
-        private boolean flowing;
-        private final Deque<ByteBuf> early = new ArrayDeque<>(0);
+        /** A long value that answers it. */
+        private Passage passage;
 
         Slot(Terminal terminal) {
             this.terminal = terminal;
@@ -182,25 +180,59 @@
         }
 
         @Override
-        public boolean passes(LongValue begun) {
+        public boolean passes(LongValue value) {
             if (terminal.closing) {
                 return false;
             }
-            value = begun;
-            begun.to(this);
+            passage = new Passage(this, value);
+            value.to(passage);
             terminal.flowIfFirst();
             // Before its turn, or while its terminal is slow, a value waits at its node.
-            begun.reads(flowing && terminal.raw.isWritable());
+            value.reads(passage.flowing && terminal.raw.isWritable());
             return true;
         }
 
+        /** Lets go of bytes whose turn will not come. */
+        void drop() {
+            if (aside != null) {
+                aside.release();
+                aside = null;
+            }
+            if (passage != null) {
+                passage.early.forEach(ByteBuf::release);
+                passage.early.clear();
+            }
+        }
+
+        @Override
+        public void settled() {
+            if (body != null) {
+                body.release();
+                body = null;
+            }
+        }
+    }
+
+    /** A long value on its way to the terminal of its slot. */
+    private static final class Passage implements LongValue.Sink {
+        private final Slot slot;
+        private final LongValue value;
+        /** Whether it is being written, and its parts that came before their turn. */
+        private boolean flowing;
+        private final Deque<ByteBuf> early = new ArrayDeque<>(4);
+
+        Passage(Slot slot, LongValue value) {
+            this.slot = slot;
+            this.value = value;
+        }
+
         @Override
         public void part(ByteBuf bytes) {
-            if (terminal.closing) {
+            if (slot.terminal.closing) {
                 bytes.release();
             } else if (flowing) {
-                terminal.raw.pass(bytes);
-                value.reads(terminal.raw.isWritable());
+                slot.terminal.raw.pass(bytes);
+                value.reads(slot.terminal.raw.isWritable());
             } else {
                 early.add(bytes);
             }
@@ -208,41 +240,23 @@
 
         @Override
         public void whole() {
-            if (flowing && !terminal.closing) {
-                terminal.valueEnded(this);
+            if (flowing && !slot.terminal.closing) {
+                slot.terminal.valueEnded(slot);
             }
         }
 
         @Override
         public void cut() {
-            ask = null;
-            if (terminal.closing) {
+            slot.ask = null;
+            if (slot.terminal.closing) {
                 return;
             }
             if (flowing) {
                 Logger.warn("a value was cut off by its app node");
-                terminal.cut();
+                slot.terminal.cut();
             } else {
-                drop();
-                terminal.line(this, "-ERR failed");
-            }
-        }
-
-        /** Lets go of bytes whose turn will not come. */
-        void drop() {
-            if (aside != null) {
-                aside.release();
-                aside = null;
-            }
-            early.forEach(ByteBuf::release);
-            early.clear();
-        }
-
-        @Override
-        public void settled() {
-            if (body != null) {
-                body.release();
-                body = null;
+                slot.drop();
+                slot.terminal.line(slot, "-ERR failed");
             }
         }
     }
@@ -399,19 +413,20 @@
         /** Writes on with the long value whose turn has come, if it is one's. */
         void flowIfFirst() {
             Slot first = slots.peek();
-            if (first == null || first.value == null || first.flowing) {
+            Passage passage = first == null ? null : first.passage;
+            if (passage == null || passage.flowing) {
                 return;
             }
-            first.flowing = true;
-            raw.portions(RespDialler.PORTION);
-            Resp.head(raw.room(Resp.HEAD), '$', first.value.length());
-            for (ByteBuf part = first.early.poll(); part != null; part = first.early.poll()) {
+            passage.flowing = true;
+            raw.waitsAtMost(2 * RespDialler.PORTION);
+            Resp.head(raw.room(Resp.HEAD), '$', passage.value.length());
+            for (ByteBuf part = passage.early.poll(); part != null; part = passage.early.poll()) {
                 raw.pass(part);
             }
-            if (first.value.whole()) {
+            if (passage.value.whole()) {
                 valueEnded(first);
             } else {
-                first.value.reads(raw.isWritable());
+                passage.value.reads(raw.isWritable());
             }
         }
 
@@ -453,8 +468,8 @@
         @Override
         public void writable() {
             Slot first = slots.peek();
-            if (first != null && first.flowing) {
-                first.value.reads(raw.isWritable());
+            if (first != null && first.passage != null && first.passage.flowing) {
+                first.passage.value.reads(raw.isWritable());
             }
             resumeIfDrained();
         }
