End the listening at a drain only after all that was connected has been taken

Change: PatientTransport.stopListening drains and closes the listening sockets on the acceptor's thread, the handler stays; a connection made or used within 0.2 s is left for the next look of a drain.

--- a/gateway/src/main/java/opalcove/loop/PatientTransport.java
+++ b/gateway/src/main/java/opalcove/loop/PatientTransport.java
@@ -1,13 +1,23 @@
 package opalcove.loop;
 
 import io.netty.bootstrap.ServerBootstrap;
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelInitializer;
 import io.netty.channel.IoHandler;
 import io.netty.channel.IoHandlerFactory;
+import io.netty.channel.nio.AbstractNioChannel;
 import io.netty.channel.socket.nio.NioChannelOption;
 import io.netty.util.concurrent.ThreadAwareExecutor;
+import io.vertx.core.Context;
+import io.vertx.core.Vertx;
 import io.vertx.core.impl.transports.NioTransport;
+import io.vertx.core.internal.VertxInternal;
 import io.vertx.core.net.NetServerOptions;
 import java.net.StandardSocketOptions;
+import java.util.List;
+import java.util.Set;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.atomic.AtomicInteger;
 
 /**
  * Vert.x's NIO transport, but for the last part of a millisecond before a timer is due. A selector waits in whole
@@ -18,6 +28,10 @@
 public class PatientTransport extends NioTransport {
     /** Netty adds as much again before it cuts to whole milliseconds, ns. */
     private static final long PART_NS = 499_999;
+    /** Looks for connections before a listening socket is closed; each takes several, and all take a whole backlog. */
+    private static final int MOST_TAKES = 64;
+
+    private final Set<Channel> listening = ConcurrentHashMap.newKeySet();
 
     @Override
     public IoHandlerFactory ioHandlerFactory() {
@@ -34,7 +48,47 @@
         super.configure(options, domainSocket, bootstrap);
         if (options.isReusePort() && !domainSocket) {
             bootstrap.option(NioChannelOption.of(StandardSocketOptions.SO_REUSEPORT), true);
+            bootstrap.handler(new ChannelInitializer<>() {
+                @Override
+                protected void initChannel(Channel server) {
+                    listening.add(server);
+                    server.closeFuture().addListener(closed -> listening.remove(server));
+                }
+            });
+        }
+    }
+
+    /**
+     * Ends the listening at shared ports and leaves the servers as they are: all that the kernel holds by then is taken
+     * first, and what was taken is handed over as ever. Guards connections that were made while the loops were held up,
+     * which a server's own shutdown closes unread. Runs the action on the caller's context once all of them have come
+     * there; gives false, and does nothing, where the Vert.x instance is not on this transport.
+     */
+    public static boolean stopListening(Vertx vertx, Runnable then) {
+        if (!(((VertxInternal) vertx).transport() instanceof PatientTransport transport)) {
+            return false;
+        }
+        Context context = vertx.getOrCreateContext();
+        List<Channel> servers = List.copyOf(transport.listening);
+        AtomicInteger left = new AtomicInteger(servers.size() + 1);
+        // Two turns: in the first the connections handed over are registered, in the second their handler has run.
+        Runnable last = () -> {
+            if (left.decrementAndGet() == 0) {
+                context.runOnContext(registered -> context.runOnContext(handled -> then.run()));
+            }
+        };
+        for (Channel server : servers) {
+            server.eventLoop().execute(() -> {
+                if (server.unsafe() instanceof AbstractNioChannel.NioUnsafe nio) {
+                    for (int take = 0; take < MOST_TAKES; take++) {
+                        nio.read();
+                    }
+                }
+                server.close().addListener(closed -> last.run());
+            });
         }
+        last.run();
+        return true;
     }
 
     /** The handler of a loop; a transport that looks at what loops do puts its own around it. */
--- a/gateway/src/main/java/opalcove/platform/RespFront.java
+++ b/gateway/src/main/java/opalcove/platform/RespFront.java
@@ -25,6 +25,7 @@
 import opalcove.gateway.Marks;
 import opalcove.gateway.Metrics;
 import opalcove.gateway.Phases;
+import opalcove.loop.PatientTransport;
 import org.tinylog.Logger;
 
 /** The RESP2 front: terminals' connections, their commands in, the answers out in the order of the commands. */
@@ -67,6 +68,8 @@
     private Runnable whenEmpty = () -> { };
     /** Told by an operator: PING says no, and each connection is closed once it owes nothing. */
     private boolean sendingAway;
+    /** Draining, and connections that were made before may still be handed over. */
+    private boolean coming;
 
     public RespFront(Vertx vertx, Gateway gateway, Phases phases, int mostTerminals) {
         this.vertx = vertx;
@@ -89,7 +92,7 @@
 
     /** Guards memory and descriptors against terminals that ask once, or never to the end of a command, and stay. */
     private void closeResting() {
-        long before = System.nanoTime() - TimeUnit.MILLISECONDS.toNanos(sendingAway ? AWAY_REST_MS : REST_MS);
+        long before = System.nanoTime() - TimeUnit.MILLISECONDS.toNanos(goesAway() ? AWAY_REST_MS : REST_MS);
         for (Terminal each : List.copyOf(terminals)) {
             if (each.slots.isEmpty() && each.lastUsed - before < 0) {
                 each.partIfQuiet();
@@ -144,17 +147,30 @@
         }
     }
 
+    /** Whether connections are closed once they owe nothing. */
+    private boolean goesAway() {
+        return sendingAway || phases.now().ordinal() >= Phases.Phase.DRAINING.ordinal();
+    }
+
     /** Takes no new connections, and closes each that owes no answer; runs the action once none is left. */
     public void drain(Runnable action) {
         whenEmpty = action;
-        // Not close(), which would cut the connections that are still owed answers.
-        server.shutdown(1, TimeUnit.HOURS);
-        List.copyOf(terminals).forEach(Terminal::closeIfIdle);
+        coming = PatientTransport.stopListening(vertx, () -> {
+            coming = false;
+            closeResting();
+            checkEmpty();
+        });
+        if (!coming) {
+            // Not close(), which would cut the connections that are still owed answers.
+            server.shutdown(1, TimeUnit.HOURS);
+        }
+        // One that was made or used just now may have its next command on the way: the next looks see to it.
+        closeResting();
         checkEmpty();
     }
 
     private void checkEmpty() {
-        if (terminals.isEmpty() && farewells.isEmpty()) {
+        if (!coming && terminals.isEmpty() && farewells.isEmpty()) {
             whenEmpty.run();
         }
     }
@@ -493,10 +509,9 @@
         }
 
         void closeIfIdle() {
-            boolean draining = sendingAway || phases.now().ordinal() >= Phases.Phase.DRAINING.ordinal();
             if (slots.isEmpty() && closing) {
                 part();
-            } else if (slots.isEmpty() && draining) {
+            } else if (slots.isEmpty() && goesAway()) {
                 // Not within the reading of this very connection, in which it cannot be read once more.
                 vertx.runOnContext(read -> partIfQuiet());
             }
