--- a/gateway/src/main/java/opalcove/gateway/Program.java
+++ b/gateway/src/main/java/opalcove/gateway/Program.java
@@ -33,6 +33,14 @@
                 .transport(new PatientTransport()).init().vertx();
     }
 
+    /**
+     * Ends the listening of a front's servers once all that was connected has been taken; what was taken is served. Runs
+     * the action then; gives false, and does nothing, on an event loop that is not of this program's kind.
+     */
+    public static boolean stopListening(Vertx vertx, Runnable then) {
+        return PatientTransport.stopListening(vertx, then);
+    }
+
     /** Runs the wiring on the event loop, and from now on ends well at SIGTERM. */
     public void start(Consumer<Vertx> wiring) {
         vertx.runOnContext(start -> wiring.accept(vertx));
--- a/gateway/src/main/java/opalcove/platform/RespFront.java
+++ b/gateway/src/main/java/opalcove/platform/RespFront.java
@@ -25,7 +25,7 @@
 import opalcove.gateway.Marks;
 import opalcove.gateway.Metrics;
 import opalcove.gateway.Phases;
-import opalcove.loop.PatientTransport;
+import opalcove.gateway.Program;
 import org.tinylog.Logger;
 
 /** The RESP2 front: terminals' connections, their commands in, the answers out in the order of the commands. */
@@ -155,7 +155,7 @@
     /** Takes no new connections, and closes each that owes no answer; runs the action once none is left. */
     public void drain(Runnable action) {
         whenEmpty = action;
-        coming = PatientTransport.stopListening(vertx, () -> {
+        coming = Program.stopListening(vertx, () -> {
             coming = false;
             closeResting();
             checkEmpty();
