Membership among gateways by SWIM and Lifeguard, with a rig of real processes; off in run

Change: module membership (Swim, JDK only, no clock), gateway's package cluster (datagrams, settings section membership, door call MEMBERS, figures membership.*), command members; laboratory: MembershipModel in virtual time, ClusterRig and FaultProxy with several real processes. rehearsal_ms is a setting now. LayersTest holds the module to the JDK.

--- a/cli/src/test/java/opalcove/cli/LayersTest.java
+++ b/cli/src/test/java/opalcove/cli/LayersTest.java
@@ -17,6 +17,8 @@
     public void dependenciesPointInwards() {
         layeredArchitecture().consideringOnlyDependenciesInLayers()
                 .layer("decision").definedBy("opalcove.decision..")
+                .layer("membership").definedBy("opalcove.membership..")
+                .layer("cluster").definedBy("opalcove.cluster..")
                 .layer("loop").definedBy("opalcove.loop..")
                 .layer("core").definedBy("opalcove.gateway..")
                 .layer("platform").definedBy("opalcove.platform..", "opalcove.sim..")
@@ -24,8 +26,11 @@
                 .layer("control").definedBy("opalcove.control..")
                 .layer("laboratory").definedBy("opalcove.laboratory..")
                 .layer("programs").definedBy("opalcove", "opalcove.cli..")
+                .whereLayer("membership").mayOnlyBeAccessedByLayers("cluster", "laboratory")
+                .whereLayer("cluster").mayOnlyBeAccessedByLayers("platform", "laboratory")
                 .whereLayer("loop").mayOnlyBeAccessedByLayers("core", "laboratory")
-                .whereLayer("core").mayOnlyBeAccessedByLayers("platform", "mqtt", "control", "laboratory", "programs")
+                .whereLayer("core").mayOnlyBeAccessedByLayers("cluster", "platform", "mqtt", "control", "laboratory",
+                        "programs")
                 .whereLayer("platform").mayOnlyBeAccessedByLayers("mqtt", "laboratory", "programs")
                 .whereLayer("mqtt").mayOnlyBeAccessedByLayers("laboratory", "programs")
                 .whereLayer("control").mayOnlyBeAccessedByLayers("laboratory", "programs")
@@ -35,11 +40,13 @@
                 .check(PRODUCT);
     }
 
-    /** The decision module stands on the JDK alone and does no I/O. */
+    /** The decisions stand on the JDK alone and do no I/O. */
     @Test
     public void theDecisionsDoNothingButDecide() {
-        noClasses().that().resideInAPackage("opalcove.decision..").should().dependOnClassesThat()
-                .resideOutsideOfPackages("opalcove.decision..", "java.lang..", "java.util..").check(PRODUCT);
+        for (String each : new String[] {"opalcove.decision..", "opalcove.membership.."}) {
+            noClasses().that().resideInAPackage(each).should().dependOnClassesThat()
+                    .resideOutsideOfPackages(each, "java.lang..", "java.util..").check(PRODUCT);
+        }
     }
 
     /** The core knows no wire. */
--- /dev/null
+++ b/gateway/src/main/java/opalcove/cluster/Membership.java
@@ -0,0 +1,184 @@
+package opalcove.cluster;
+
+import com.eclipsesource.json.Json;
+import com.eclipsesource.json.JsonObject;
+import io.vertx.core.Future;
+import io.vertx.core.Vertx;
+import io.vertx.core.buffer.Buffer;
+import io.vertx.core.datagram.DatagramPacket;
+import io.vertx.core.datagram.DatagramSocket;
+import io.vertx.core.datagram.DatagramSocketOptions;
+import java.util.SplittableRandom;
+import java.util.concurrent.TimeUnit;
+import java.util.function.Consumer;
+import opalcove.gateway.BadSettings;
+import opalcove.gateway.Endpoint;
+import opalcove.membership.Member;
+import opalcove.membership.Message;
+import opalcove.membership.Swim;
+import org.tinylog.Logger;
+
+/**
+ * This process as a member of the gateways' fleet: the protocol's part ({@link Swim}) on datagrams and timers. It runs on
+ * an event loop of its own, apart from client work, whose turns would look to the others like silence. What others read
+ * of it ({@link #lines}, {@link #members}) is published after each turn.
+ */
+public final class Membership {
+    private static final int BUFFER = 1 << 20;
+
+    private final Vertx vertx;
+    private final String name;
+    private final MembershipSettings settings;
+    private final Consumer<String> events;
+    private final DatagramSocket socket;
+    private Swim swim;
+    private long timer = -1;
+    private long sent;
+    private long received;
+    private long unreadable;
+    private volatile String lines = "";
+    private volatile String members = "";
+
+    /** A member of that name; the events, where the settings want them, go to the consumer, a JSON object each. */
+    public Membership(Vertx own, String name, MembershipSettings settings, Consumer<String> events) {
+        vertx = own;
+        this.name = name;
+        this.settings = settings;
+        this.events = events;
+        socket = own.createDatagramSocket(new DatagramSocketOptions().setReceiveBufferSize(BUFFER)
+                .setSendBufferSize(BUFFER));
+    }
+
+    /** Listens and joins; fails where the address cannot be listened at. */
+    public Future<Void> start() {
+        return socket.listen(settings.listen().port(), settings.listen().address()).map(open -> {
+            String address = settings.advertise().isEmpty()
+                    ? settings.listen().address() + ":" + open.localAddress().port() : settings.advertise();
+            // The time of the start as first incarnation: higher than that of any earlier process of this name.
+            swim = new Swim(now(), name, address, System.currentTimeMillis(), settings.seeds(), settings.figures(),
+                    new SplittableRandom(), new Host());
+            open.handler(this::received);
+            open.exceptionHandler(e -> Logger.debug("membership: {}", e.getMessage()));
+            Logger.info("membership: {} at {}, seeds {}", name, address, settings.seeds());
+            tick();
+            return null;
+        });
+    }
+
+    private static long now() {
+        return TimeUnit.NANOSECONDS.toMillis(System.nanoTime());
+    }
+
+    private void tick() {
+        swim.tick(now());
+        turned();
+    }
+
+    /** After each turn: publishes what is known, and sets the timer to when there is work. */
+    private void turned() {
+        publish();
+        if (timer >= 0) {
+            vertx.cancelTimer(timer);
+        }
+        timer = vertx.setTimer(Math.max(1, swim.due() - now()), due -> {
+            timer = -1;
+            tick();
+        });
+    }
+
+    private void received(DatagramPacket packet) {
+        Message message;
+        try {
+            message = Datagrams.read(packet.data().getBytes());
+        } catch (BadSettings e) {
+            unreadable++;
+            Logger.debug("membership: a datagram is not read: {}", e.getMessage());
+            publish();
+            return;
+        }
+        received++;
+        swim.receive(now(), message);
+        turned();
+    }
+
+    /** Tells the others that this member goes; to be called some gossip periods before the process ends. */
+    public void leave() {
+        vertx.runOnContext(told -> {
+            if (swim != null && swim.self().state() == Member.State.ALIVE) {
+                swim.leave(now());
+                turned();
+            }
+        });
+    }
+
+    private void publish() {
+        Swim.Counts counts = swim.counts();
+        long suspects = swim.others().stream().filter(each -> each.state() == Member.State.SUSPECT).count();
+        StringBuilder text = new StringBuilder(512);
+        figure(text, "members", swim.fleet().size(), 'g');
+        figure(text, "suspects", suspects, 'g');
+        figure(text, "health", swim.health(), 'g');
+        figure(text, "version", swim.version(), 'g');
+        figure(text, "incarnation", swim.self().incarnation(), 'g');
+        figure(text, "sent", sent, 'c');
+        figure(text, "received", received, 'c');
+        figure(text, "unreadable", unreadable, 'c');
+        figure(text, "probes", counts.probes(), 'c');
+        figure(text, "acks", counts.acks(), 'c');
+        figure(text, "helped", counts.helped(), 'c');
+        figure(text, "suspicions", counts.suspicions(), 'c');
+        figure(text, "confirmed", counts.confirmed(), 'c');
+        figure(text, "refuted", counts.refuted(), 'c');
+        figure(text, "pauses", counts.pauses(), 'c');
+        lines = text.toString();
+        StringBuilder list = new StringBuilder(256);
+        line(list, swim.self());
+        swim.others().forEach(each -> line(list, each));
+        members = list.toString();
+    }
+
+    private static void figure(StringBuilder text, String figure, long value, char kind) {
+        text.append("membership.").append(figure).append(':').append(value).append('|').append(kind).append('\n');
+    }
+
+    private static void line(StringBuilder text, Member member) {
+        text.append(member.name()).append(' ').append(member.address()).append(' ').append(member.incarnation())
+                .append(' ').append(member.state().name().toLowerCase(java.util.Locale.ROOT)).append('\n');
+    }
+
+    /** The figures, a line each, in the form of the other figures. */
+    public String lines() {
+        return lines;
+    }
+
+    /** What is known of each member, this one first: name, address, incarnation and state, a line each. */
+    public String members() {
+        return members;
+    }
+
+    private final class Host implements Swim.Host {
+        @Override
+        public void send(String address, Message message) {
+            try {
+                Endpoint at = Endpoint.read(address, "address");
+                sent++;
+                socket.send(Buffer.buffer(Datagrams.write(message)), at.port(), at.address())
+                        .onFailure(e -> Logger.debug("membership: not sent to {}: {}", address, e.getMessage()));
+            } catch (BadSettings e) {
+                Logger.warn("membership: a member's address cannot be used: {}", e.getMessage());
+            }
+        }
+
+        @Override
+        public void changed(Member before, Member after) {
+            Logger.info("membership: {} is {} (incarnation {})", after.name(), after.state(), after.incarnation());
+            if (settings.events()) {
+                JsonObject event = Json.object().add("at_ms", System.currentTimeMillis()).add("event", "member")
+                        .add("observer", name).add("name", after.name()).add("address", after.address())
+                        .add("incarnation", after.incarnation()).add("state", after.state().name())
+                        .add("before", before == null ? "UNKNOWN" : before.state().name());
+                events.accept(event.toString());
+            }
+        }
+    }
+}
--- a/gateway/src/main/java/opalcove/platform/Config.java
+++ b/gateway/src/main/java/opalcove/platform/Config.java
@@ -5,6 +5,7 @@
 import java.nio.file.Path;
 import java.util.List;
 import java.util.Map;
+import opalcove.cluster.MembershipSettings;
 import opalcove.decision.Admission;
 import opalcove.gateway.AppNode;
 import opalcove.gateway.BadSettings;
@@ -13,9 +14,19 @@
 import opalcove.gateway.NodeLines;
 import opalcove.gateway.SettingsReader;
 
-/** What the platform tells a gateway at its start; console is null where no operators' door is named. */
+/**
+ * What the platform tells a gateway at its start; console is null where no operators' door is named, membership where the
+ * gateways do not talk, as on the platform. rehearsalMs is how long the start may rehearse, 0 for not at all.
+ */
 public record Config(String name, Endpoint listen, Endpoint console, Endpoint discovery, long seed, int sockets,
-                     List<AppNode> known, long knownIndex, Admission.Settings settings) {
+                     List<AppNode> known, long knownIndex, Admission.Settings settings, int rehearsalMs,
+                     MembershipSettings membership) {
+    /**
+     * How long the rehearsal may take with all its waits, ms; it is over sooner on a whole core. The platform allows a
+     * start 6 s to its yes, of which the machine may take its part first.
+     */
+    private static final int REHEARSAL_MS = 2500;
+
     /**
      * Reads the file that GW_CONFIG names. The other variables go before what it says, but for discovery: they are as
      * old as the process, and the file may have been replaced under it.
@@ -41,11 +52,16 @@
         String consoleAt = environment.getOrDefault("GW_CONSOLE", f.textOr("console", ""));
         Endpoint console = consoleAt.isEmpty() ? null : Endpoint.read(consoleAt, "console");
         int sockets = f.has("limits") ? f.object("limits").wholeOr("sockets", 1024) : 1024;
+        int rehearsalMs = f.wholeOr("rehearsal_ms", REHEARSAL_MS);
+        if (rehearsalMs < 0 || rehearsalMs > 60_000) {
+            throw new BadSettings("field rehearsal_ms must be from 0 to 60000");
+        }
         return new Config(environment.getOrDefault("GW_NAME", f.textOr("name", "")), listen, console, discovery, seed(f),
                 sockets, f.has("known") ? NodeLines.read(f.object("known").objects("endpoints")) : List.of(),
                 f.has("known") && f.object("known").has("index") ? f.object("known").serial("index")
                         : DiscoveryWatch.NO_INDEX,
-                SettingsReader.checked(f.object("settings")));
+                SettingsReader.checked(f.object("settings")), rehearsalMs,
+                f.has("membership") ? MembershipSettings.read(f.object("membership")) : null);
     }
 
     private static long seed(Fields f) {
--- a/gateway/src/main/java/opalcove/platform/Console.java
+++ b/gateway/src/main/java/opalcove/platform/Console.java
@@ -38,6 +38,11 @@
         /** The figures, a line each, each ended by a line feed. */
         String figures();
 
+        /** What is known of the other gateways, a line each, this one's first; null where gateways do not talk. */
+        default String members() {
+            return null;
+        }
+
         /** Sends clients away, or takes them again. */
         void sendAway(boolean away);
     }
@@ -119,6 +124,10 @@
             case "STATS" -> {
                 return "+OK\n" + gateway.figures() + ".\n";
             }
+            case "MEMBERS" -> {
+                String members = gateway.members();
+                return members == null ? "-ERR membership is off\n" : "+OK\n" + members + ".\n";
+            }
             case "DRAIN" -> {
                 gateway.sendAway(true);
                 return "+OK draining\n";
--- a/gateway/src/main/java/opalcove/platform/Serve.java
+++ b/gateway/src/main/java/opalcove/platform/Serve.java
@@ -5,6 +5,7 @@
 import java.util.Locale;
 import java.util.SplittableRandom;
 import java.util.concurrent.TimeUnit;
+import opalcove.cluster.Membership;
 import opalcove.gateway.BadSettings;
 import opalcove.gateway.Budget;
 import opalcove.gateway.Clock;
@@ -18,12 +19,6 @@
 public final class Serve {
     /** How long to wait for discovery's first answer before the list known from before, if any, must do, ms. */
     private static final long FIRST_LIST_MS = 1000;
-    /**
-     * How long the rehearsal may take with all its waits, ms; it is over sooner on a whole core. The platform allows a
-     * start 6 s to its yes, of which the machine may take its part first.
-     */
-    private static final long REHEARSAL_MS = 2500;
-
     private Serve() {
     }
 
@@ -41,8 +36,10 @@
                 Runtime.getRuntime().halt(1);
             });
         }
+        Membership membership = join(config);
+        door.membership = membership;
         Logger.info("rehearsed {} asks", Rehearsal.play(Program::eventLoop, config.settings(),
-                Budget.ofMs(REHEARSAL_MS)));
+                Budget.ofMs(config.rehearsalMs())));
         Program program = new Program();
         program.start(vertx -> {
             LinkPool links = new LinkPool(vertx, config.settings(), new RespDialler(vertx, config.settings()),
@@ -52,6 +49,13 @@
             DiscoveryWatch discovery = new DiscoveryWatch(vertx, config.discovery(), config.settings(),
                     new SplittableRandom(config.seed()), gateway::nodesTold);
             program.atEnd(gateway, front::drain);
+            if (membership != null) {
+                program.phases().watch(phase -> {
+                    if (phase == Phases.Phase.LEAVING) {
+                        membership.leave();
+                    }
+                });
+            }
             door.serve(vertx, gateway, front, program.phases());
             if (!config.known().isEmpty()) {
                 // An empty list would make every node of discovery's first one look newly started, and cold.
@@ -67,6 +71,20 @@
         });
     }
 
+    /** Joins the other gateways where the settings have it; a member that cannot listen ends the start with 1. */
+    private static Membership join(Config config) {
+        if (config.membership() == null) {
+            return null;
+        }
+        Membership membership = new Membership(Program.eventLoop(), config.name(), config.membership(),
+                System.out::println);
+        membership.start().onFailure(e -> {
+            Logger.error("cannot listen at membership.listen {}: {}", config.membership().listen(), e.getMessage());
+            Runtime.getRuntime().halt(1);
+        });
+        return membership;
+    }
+
     /**
      * The file was replaced: discovery moves and new settings are taken at once (asks under way keep theirs); a file
      * that cannot be used leaves the old one in force, whole.
@@ -101,6 +119,7 @@
         private Vertx vertx;
         private Gateway gateway;
         private RespFront front;
+        private volatile Membership membership;
 
         synchronized void serve(Vertx loop, Gateway wired, RespFront wiredFront, Phases phases) {
             vertx = loop;
@@ -122,7 +141,12 @@
 
         @Override
         public synchronized String figures() {
-            return gateway == null ? "" : gateway.metrics().lines();
+            return (gateway == null ? "" : gateway.metrics().lines()) + (membership == null ? "" : membership.lines());
+        }
+
+        @Override
+        public String members() {
+            return membership == null ? null : membership.members();
         }
 
         @Override
--- /dev/null
+++ b/laboratory/src/main/java/opalcove/laboratory/ClusterRig.java
@@ -0,0 +1,217 @@
+package opalcove.laboratory;
+
+import com.eclipsesource.json.Json;
+import com.eclipsesource.json.JsonArray;
+import com.eclipsesource.json.JsonObject;
+import com.eclipsesource.json.ParseException;
+import java.io.BufferedReader;
+import java.io.IOException;
+import java.net.InetAddress;
+import java.net.ServerSocket;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.TimeUnit;
+import java.util.function.Predicate;
+
+/**
+ * Several processes of the real program on loopback, with a fault proxy between every pair. Processes are paused and
+ * resumed by SIGSTOP and SIGCONT, killed, ended well, and started again; the events that they write as JSON lines are
+ * gathered into one history. Whoever waits, waits for what the history shows and not for time to go by.
+ */
+public final class ClusterRig implements AutoCloseable {
+    /** A change that one process told of a member. */
+    public record Event(long atMs, String observer, String name, String state, String before, long incarnation) { }
+
+    private final Path folder;
+    private final FaultProxy proxy;
+    private final int probeMs;
+    private final List<String> seeds;
+    private final Map<String, Process> processes = new LinkedHashMap<>();
+    private final Map<String, Integer> consoles = new HashMap<>();
+    private final List<Event> history = new ArrayList<>();
+
+    /** A rig whose faults are drawn by the seed; its members join through those of the names given. */
+    public ClusterRig(long seed, int probeMs, List<String> seedMembers) throws IOException {
+        folder = Files.createTempDirectory("rig");
+        proxy = new FaultProxy(seed);
+        this.probeMs = probeMs;
+        seeds = new ArrayList<>();
+        for (String each : seedMembers) {
+            seeds.add(proxy.door(each));
+        }
+    }
+
+    /** Starts a member, or starts it again at its address. */
+    public void start(String name) throws IOException {
+        Path config = folder.resolve(name + ".json");
+        int console = freePort();
+        consoles.put(name, console);
+        JsonArray joins = new JsonArray();
+        seeds.forEach(joins::add);
+        JsonObject membership = Json.object().add("listen", "127.0.0.1:0").add("advertise", proxy.door(name))
+                .add("seeds", joins).add("probe_ms", probeMs).add("events", true);
+        Files.writeString(config, Json.object().add("name", name).add("listen", "127.0.0.1:0")
+                .add("console", "127.0.0.1:" + console).add("discovery", "127.0.0.1:" + freePort())
+                .add("rehearsal_ms", 0).add("membership", membership)
+                .add("settings", Json.parse(Laboratory.settingsText())).toString());
+        ProcessBuilder builder = new ProcessBuilder(Path.of(System.getProperty("java.home"), "bin", "java").toString(),
+                "-XX:+UseSerialGC", "-XX:TieredStopAtLevel=1", "-Xmx48m", "-cp", System.getProperty("java.class.path"),
+                "opalcove.Main", "serve").redirectError(folder.resolve(name + ".log").toFile());
+        builder.environment().put("GW_CONFIG", config.toString());
+        builder.environment().keySet().removeIf(key -> key.startsWith("GW_") && !key.equals("GW_CONFIG"));
+        Process process = builder.start();
+        process.getOutputStream().close();
+        processes.put(name, process);
+        Thread reader = new Thread(() -> gather(process), "events-" + name);
+        reader.setDaemon(true);
+        reader.start();
+    }
+
+    private static int freePort() throws IOException {
+        try (ServerSocket free = new ServerSocket(0, 1, InetAddress.getLoopbackAddress())) {
+            return free.getLocalPort();
+        }
+    }
+
+    private void gather(Process process) {
+        try (BufferedReader lines = process.inputReader()) {
+            for (String line = lines.readLine(); line != null; line = lines.readLine()) {
+                event(line);
+            }
+        } catch (IOException e) {
+            // The process has ended amid a line.
+            return;
+        }
+    }
+
+    private synchronized void event(String line) {
+        try {
+            JsonObject event = Json.parse(line).asObject();
+            history.add(new Event(event.getLong("at_ms", 0), event.getString("observer", ""),
+                    event.getString("name", ""), event.getString("state", ""), event.getString("before", ""),
+                    event.getLong("incarnation", 0)));
+        } catch (ParseException | UnsupportedOperationException e) {
+            System.err.println("rig: not an event: " + line);
+        }
+        notifyAll();
+    }
+
+    /** Kills a member's process; it tells nobody. */
+    public void kill(String name) throws InterruptedException {
+        Process process = processes.remove(name);
+        process.destroyForcibly();
+        process.waitFor();
+    }
+
+    /** Ends a member's process well (SIGTERM). */
+    public void leave(String name) {
+        processes.remove(name).destroy();
+    }
+
+    /** Stops a member's process where it stands (SIGSTOP). */
+    public void pause(String name) throws IOException, InterruptedException {
+        signal("-STOP", name);
+    }
+
+    /** Stops a member's process for so long. */
+    public void pauseFor(String name, long ms) throws IOException, InterruptedException {
+        pause(name);
+        Thread.sleep(ms);
+        resume(name);
+    }
+
+    /** Lets a paused process go on (SIGCONT). */
+    public void resume(String name) throws IOException, InterruptedException {
+        signal("-CONT", name);
+    }
+
+    private void signal(String signal, String name) throws IOException, InterruptedException {
+        int exit = new ProcessBuilder("kill", signal, Long.toString(processes.get(name).pid())).start().waitFor();
+        if (exit != 0) {
+            throw new IOException("kill " + signal + " " + name + " ended with " + exit);
+        }
+    }
+
+    /** Cuts the way from one member to another, in that direction only. */
+    public void cut(String from, String to) {
+        proxy.cut(from, to);
+    }
+
+    /** Heals all cuts. */
+    public void heal() {
+        proxy.heal();
+    }
+
+    /** What happens to each datagram from now on. */
+    public void net(MembershipModel.Net net) {
+        proxy.net(net);
+    }
+
+    /** What happens to all that one member sends and gets. */
+    public void net(String name, MembershipModel.Net own) {
+        proxy.net(name, own);
+    }
+
+    /** Datagrams passed on so far, and their bytes. */
+    public long[] passed() {
+        return proxy.passed();
+    }
+
+    /** The port of a member's console. */
+    public int console(String name) {
+        return consoles.get(name);
+    }
+
+    /** All events so far, in the order in which they came in. */
+    public synchronized List<Event> history() {
+        return List.copyOf(history);
+    }
+
+    /** What a member last told of another: its state, or UNKNOWN. */
+    public synchronized String view(String observer, String name) {
+        String state = "UNKNOWN";
+        for (Event each : history) {
+            if (each.observer().equals(observer) && each.name().equals(name)) {
+                state = each.state();
+            }
+        }
+        return state;
+    }
+
+    /** Waits until the history is as wanted, for so long at most; tells whether it came to be. */
+    public synchronized boolean await(Predicate<ClusterRig> wanted, long mostMs) throws InterruptedException {
+        long end = System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(mostMs);
+        while (!wanted.test(this)) {
+            long left = TimeUnit.NANOSECONDS.toMillis(end - System.nanoTime());
+            if (left <= 0) {
+                return false;
+            }
+            wait(left);
+        }
+        return true;
+    }
+
+    /** Whether each of these members holds each other one for alive. */
+    public boolean allAlive(List<String> names) {
+        return names.stream().allMatch(observer -> names.stream()
+                .allMatch(name -> name.equals(observer) || view(observer, name).equals("ALIVE")));
+    }
+
+    @Override
+    public void close() throws IOException {
+        processes.values().forEach(Process::destroyForcibly);
+        processes.values().forEach(process -> process.onExit().join());
+        proxy.close();
+        try (var files = Files.list(folder)) {
+            for (Path file : files.toList()) {
+                Files.delete(file);
+            }
+        }
+        Files.delete(folder);
+    }
+}
--- /dev/null
+++ b/laboratory/src/main/java/opalcove/laboratory/FaultProxy.java
@@ -0,0 +1,170 @@
+package opalcove.laboratory;
+
+import java.io.IOException;
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.net.SocketAddress;
+import java.nio.ByteBuffer;
+import java.nio.channels.ClosedSelectorException;
+import java.nio.channels.DatagramChannel;
+import java.nio.channels.SelectionKey;
+import java.nio.channels.Selector;
+import java.util.Arrays;
+import java.util.Comparator;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.Map;
+import java.util.PriorityQueue;
+import java.util.Set;
+import java.util.SplittableRandom;
+import java.util.concurrent.TimeUnit;
+import opalcove.cluster.Datagrams;
+import opalcove.gateway.BadSettings;
+
+/**
+ * Stands between every pair of members: each member tells the others an address of this proxy, which passes datagrams on
+ * and, by a seed, loses, repeats, delays (and so reorders) them, or cuts one direction of a pair. Where a member really
+ * listens is learnt from what it sends. One thread; loopback only.
+ */
+final class FaultProxy implements AutoCloseable {
+    private static final int MOST_BYTES = 65_535;
+
+    private record Held(long dueNanos, long order, DatagramChannel by, byte[] bytes, String to) { }
+
+    private final Selector selector = Selector.open();
+    private final Map<String, DatagramChannel> doors = new HashMap<>();
+    private final Map<String, SocketAddress> real = new HashMap<>();
+    private final Set<String> cuts = new HashSet<>();
+    private final PriorityQueue<Held> held = new PriorityQueue<>(
+            Comparator.comparingLong(Held::dueNanos).thenComparingLong(Held::order));
+    private final SplittableRandom random;
+    private final Thread thread = new Thread(this::run, "fault-proxy");
+    private MembershipModel.Net net = new MembershipModel.Net(0, 0, 0, 0);
+    private final Map<String, MembershipModel.Net> nets = new HashMap<>();
+    private long order;
+    private long passed;
+    private long bytes;
+
+    FaultProxy(long seed) throws IOException {
+        random = new SplittableRandom(seed);
+        thread.setDaemon(true);
+        thread.start();
+    }
+
+    /** The address that a member of that name is to tell the others; the same at each call. */
+    synchronized String door(String member) throws IOException {
+        DatagramChannel door = doors.get(member);
+        if (door == null) {
+            door = DatagramChannel.open();
+            door.bind(new InetSocketAddress(InetAddress.getLoopbackAddress(), 0));
+            door.configureBlocking(false);
+            doors.put(member, door);
+            selector.wakeup();
+            door.register(selector, SelectionKey.OP_READ, member);
+        }
+        InetSocketAddress at = (InetSocketAddress) door.getLocalAddress();
+        return at.getAddress().getHostAddress() + ":" + at.getPort();
+    }
+
+    /** What happens to each datagram from now on, between members that have no net of their own. */
+    synchronized void net(MembershipModel.Net next) {
+        net = next;
+    }
+
+    /** What happens to all that one member sends and gets. */
+    synchronized void net(String member, MembershipModel.Net own) {
+        nets.put(member, own);
+    }
+
+    synchronized void cut(String from, String to) {
+        cuts.add(from + ">" + to);
+    }
+
+    synchronized void heal() {
+        cuts.clear();
+    }
+
+    /** Datagrams passed on so far, and their bytes. */
+    synchronized long[] passed() {
+        return new long[] {passed, bytes};
+    }
+
+    private void run() {
+        ByteBuffer buffer = ByteBuffer.allocate(MOST_BYTES);
+        try {
+            while (selector.isOpen()) {
+                selector.select(waitMs());
+                synchronized (this) {
+                    for (SelectionKey key : selector.selectedKeys()) {
+                        read((DatagramChannel) key.channel(), (String) key.attachment(), buffer);
+                    }
+                    selector.selectedKeys().clear();
+                    while (!held.isEmpty() && held.peek().dueNanos() - System.nanoTime() <= 0) {
+                        pass(held.poll());
+                    }
+                }
+            }
+        } catch (IOException | ClosedSelectorException e) {
+            // Closed: nothing is passed on any more.
+            return;
+        }
+    }
+
+    private synchronized long waitMs() {
+        return held.isEmpty() ? 0
+                : Math.max(1, TimeUnit.NANOSECONDS.toMillis(held.peek().dueNanos() - System.nanoTime()));
+    }
+
+    private void read(DatagramChannel door, String to, ByteBuffer buffer) throws IOException {
+        for (buffer.clear(); ; buffer.clear()) {
+            SocketAddress source = door.receive(buffer);
+            if (source == null) {
+                return;
+            }
+            byte[] datagram = Arrays.copyOf(buffer.array(), buffer.position());
+            String from;
+            try {
+                from = Datagrams.read(datagram).from().name();
+            } catch (BadSettings e) {
+                continue;
+            }
+            real.put(from, source);
+            carry(door, from, to, datagram);
+        }
+    }
+
+    private void carry(DatagramChannel door, String from, String to, byte[] datagram) {
+        MembershipModel.Net way = nets.getOrDefault(from, nets.getOrDefault(to, net));
+        if (cuts.contains(from + ">" + to) || random.nextDouble() < way.loss()) {
+            return;
+        }
+        int copies = random.nextDouble() < way.repeated() ? 2 : 1;
+        for (int i = 0; i < copies; i++) {
+            long ms = way.leastMs() + random.nextLong(way.mostMs() - way.leastMs() + 1);
+            held.add(new Held(System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(ms), order++, door, datagram, to));
+        }
+    }
+
+    private void pass(Held each) {
+        SocketAddress target = real.get(each.to());
+        if (target == null) {
+            return;
+        }
+        try {
+            passed++;
+            bytes += each.bytes().length;
+            each.by().send(ByteBuffer.wrap(each.bytes()), target);
+        } catch (IOException e) {
+            // As lost on its way: its member has ended.
+            passed--;
+        }
+    }
+
+    @Override
+    public synchronized void close() throws IOException {
+        selector.close();
+        for (DatagramChannel door : doors.values()) {
+            door.close();
+        }
+    }
+}
--- /dev/null
+++ b/laboratory/src/main/java/opalcove/laboratory/MembershipModel.java
@@ -0,0 +1,208 @@
+package opalcove.laboratory;
+
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.PriorityQueue;
+import java.util.Set;
+import java.util.SplittableRandom;
+import java.util.TreeMap;
+import opalcove.membership.Figures;
+import opalcove.membership.Member;
+import opalcove.membership.Message;
+import opalcove.membership.Swim;
+
+/**
+ * The membership protocol in virtual time, without sockets: the members' parts are the real ones, the network between them
+ * loses, delays, repeats and cuts. Seeded; the same seed and calls give the same history.
+ */
+public final class MembershipModel {
+    /** What the network does to each message: the shares lost and repeated, and the bounds of its way, ms. */
+    public record Net(double loss, double repeated, long leastMs, long mostMs) {
+        /** A sound network of one site. */
+        public static final Net SOUND = new Net(0, 0, 0, 2);
+    }
+
+    /** A change of what one member holds of another; before is null for one that was not known. */
+    public record Change(long at, String observer, Member before, Member after) { }
+
+    private record Event(long at, long order, Runnable what) { }
+
+    private final class Node {
+        final String name;
+        final long incarnation;
+        final Swim swim;
+        boolean up = true;
+        long pausedTill;
+        long tickAt = Long.MAX_VALUE;
+
+        Node(String name) {
+            this.name = name;
+            incarnation = now + 1;
+            swim = new Swim(now, name, name, incarnation, seeds, figures, random.split(), new Swim.Host() {
+                @Override
+                public void send(String address, Message message) {
+                    carry(name, address, message);
+                }
+
+                @Override
+                public void changed(Member before, Member after) {
+                    history.add(new Change(now, name, before, after));
+                }
+            });
+        }
+
+        /** Runs once the process runs: what comes while it stands still waits, as in a socket's buffer. */
+        void whenAwake(Runnable what) {
+            if (!up) {
+                return;
+            }
+            if (now < pausedTill) {
+                at(pausedTill, () -> whenAwake(what));
+                return;
+            }
+            what.run();
+            arm();
+        }
+
+        void arm() {
+            long due = Math.max(now, swim.due());
+            if (due < tickAt) {
+                tickAt = due;
+                at(due, () -> {
+                    if (tickAt == due) {
+                        tickAt = Long.MAX_VALUE;
+                        whenAwake(() -> swim.tick(now));
+                    }
+                });
+            }
+        }
+    }
+
+    private final Figures figures;
+    private final List<String> seeds;
+    private final SplittableRandom random;
+    private final PriorityQueue<Event> events = new PriorityQueue<>(
+            Comparator.comparingLong(Event::at).thenComparingLong(Event::order));
+    private final Map<String, Node> nodes = new TreeMap<>();
+    private final Set<String> cuts = new HashSet<>();
+    private final Map<String, Net> nets = new HashMap<>();
+    private final List<Change> history = new ArrayList<>();
+    private Net net = Net.SOUND;
+    private long now = 1000;
+    private long order;
+    private long messages;
+    private long words;
+
+    public MembershipModel(long seed, Figures figures, List<String> seeds) {
+        random = new SplittableRandom(seed);
+        this.figures = figures;
+        this.seeds = List.copyOf(seeds);
+    }
+
+    private void at(long time, Runnable what) {
+        events.add(new Event(time, order++, what));
+    }
+
+    /** Starts a member, or starts it again; its address is its name. */
+    public void start(String name) {
+        Node node = new Node(name);
+        nodes.put(name, node);
+        node.arm();
+    }
+
+    /** Ends a member at once, telling nobody. */
+    public void kill(String name) {
+        nodes.get(name).up = false;
+    }
+
+    /** Stops a member for so long, as a long collection or SIGSTOP does. */
+    public void pause(String name, long ms) {
+        nodes.get(name).pausedTill = now + ms;
+    }
+
+    /** Has a member say that it goes, and ends it half a second later. */
+    public void leave(String name) {
+        Node node = nodes.get(name);
+        node.whenAwake(() -> node.swim.leave(now));
+        at(now + 500, () -> node.up = false);
+    }
+
+    /** What the network does from now on, between members that have no net of their own. */
+    public void net(Net next) {
+        net = next;
+    }
+
+    /** What the network does to all that one member sends and gets. */
+    public void net(String name, Net own) {
+        nets.put(name, own);
+    }
+
+    /** Cuts the way from one member to another, in that direction only. */
+    public void cut(String from, String to) {
+        cuts.add(from + ">" + to);
+    }
+
+    /** Heals all cuts. */
+    public void heal() {
+        cuts.clear();
+    }
+
+    private void carry(String from, String to, Message message) {
+        messages++;
+        words += message.gossip().size();
+        Node target = nodes.get(to);
+        Net way = nets.getOrDefault(from, nets.getOrDefault(to, net));
+        if (target == null || cuts.contains(from + ">" + to) || random.nextDouble() < way.loss()) {
+            return;
+        }
+        int copies = random.nextDouble() < way.repeated() ? 2 : 1;
+        for (int i = 0; i < copies; i++) {
+            at(now + way.leastMs() + random.nextLong(way.mostMs() - way.leastMs() + 1),
+                    () -> target.whenAwake(() -> target.swim.receive(now, message)));
+        }
+    }
+
+    /** Lets so much virtual time go by. */
+    public void run(long ms) {
+        long end = now + ms;
+        while (!events.isEmpty() && events.peek().at() <= end) {
+            Event next = events.poll();
+            now = Math.max(now, next.at());
+            next.what().run();
+        }
+        now = end;
+    }
+
+    public long now() {
+        return now;
+    }
+
+    /** Messages sent so far, by all members. */
+    public long messages() {
+        return messages;
+    }
+
+    /** Words of members in them. */
+    public long words() {
+        return words;
+    }
+
+    /** All changes so far, in order. */
+    public List<Change> history() {
+        return List.copyOf(history);
+    }
+
+    /** What one member holds of the others. */
+    public Swim member(String name) {
+        return nodes.get(name).swim;
+    }
+
+    /** Names that this member holds for a part of the fleet, itself among them. */
+    public List<String> fleet(String name) {
+        return member(name).fleet().stream().map(Member::name).toList();
+    }
+}
--- /dev/null
+++ b/laboratory/src/test/java/opalcove/laboratory/ClusterRigTest.java
@@ -0,0 +1,87 @@
+package opalcove.laboratory;
+
+import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertTrue;
+
+import java.util.List;
+import org.testng.annotations.Test;
+
+/**
+ * Membership among real processes, with faults between them. What must not have happened is read from the history after a
+ * later crash has been told by all: by then it would have been told, too.
+ */
+public class ClusterRigTest {
+    private static final List<String> ALL = List.of("g1", "g2", "g3", "g4", "g5");
+    private static final long MOST_MS = 60_000;
+    private static final int PROBE_MS = 500;
+
+    private static ClusterRig fleet(long seed) throws Exception {
+        ClusterRig rig = new ClusterRig(seed, PROBE_MS, List.of("g1", "g2"));
+        for (String name : ALL) {
+            rig.start(name);
+        }
+        assertTrue(rig.await(r -> r.allAlive(ALL), MOST_MS), "they come together: " + rig.history());
+        return rig;
+    }
+
+    private static boolean allHold(ClusterRig rig, String name, String state) {
+        return ALL.stream().filter(each -> !each.equals(name)).allMatch(each -> rig.view(each, name).equals(state));
+    }
+
+    private static List<ClusterRig.Event> deathsBut(ClusterRig rig, String name) {
+        return rig.history().stream().filter(each -> each.state().equals("DEAD") && !each.name().equals(name)).toList();
+    }
+
+    @Test
+    public void shortPausesLossAndOneSidedCutsAreNoDeathAndACrashIsOne() throws Exception {
+        try (ClusterRig rig = fleet(1)) {
+            rig.net(new MembershipModel.Net(0.1, 0.02, 0, 20));
+            rig.cut("g1", "g2");
+            rig.pauseFor("g3", 1500);
+            assertTrue(rig.await(r -> allHold(r, "g3", "ALIVE"), MOST_MS));
+            rig.kill("g5");
+            assertTrue(rig.await(r -> ALL.subList(0, 4).stream().allMatch(each -> r.view(each, "g5").equals("DEAD")),
+                    MOST_MS), "the crash is told by all: " + rig.history());
+            assertEquals(deathsBut(rig, "g5"), List.of());
+            rig.start("g5");
+            assertTrue(rig.await(r -> allHold(r, "g5", "ALIVE"), MOST_MS), "it is taken back: " + rig.history());
+        }
+    }
+
+    @Test
+    public void aLongPauseIsADeathThatIsRefutedOnceAndALeaveIsNoDeath() throws Exception {
+        try (ClusterRig rig = fleet(2)) {
+            rig.pause("g3");
+            assertTrue(rig.await(r -> allHold(r, "g3", "DEAD"), MOST_MS), "told dead: " + rig.history());
+            rig.resume("g3");
+            assertTrue(rig.await(r -> allHold(r, "g3", "ALIVE"), MOST_MS), "refuted: " + rig.history());
+            for (String observer : ALL) {
+                List<ClusterRig.Event> told = rig.history().stream().filter(each -> each.observer().equals(observer)
+                        && each.name().equals("g3")).toList();
+                if (!observer.equals("g3")) {
+                    assertEquals(told.stream().filter(each -> each.state().equals("DEAD")).count(), 1);
+                    assertTrue(told.get(told.size() - 1).incarnation() > told.get(0).incarnation());
+                }
+            }
+            rig.leave("g4");
+            assertTrue(rig.await(r -> List.of("g1", "g2", "g3", "g5").stream()
+                    .allMatch(each -> r.view(each, "g4").equals("LEFT")), MOST_MS), "it left: " + rig.history());
+            assertEquals(deathsBut(rig, "g3"), List.of());
+        }
+    }
+
+    @Test
+    public void halvesCutApartComeTogetherAgain() throws Exception {
+        try (ClusterRig rig = fleet(3)) {
+            for (String a : List.of("g1", "g2")) {
+                for (String b : List.of("g3", "g4", "g5")) {
+                    rig.cut(a, b);
+                    rig.cut(b, a);
+                }
+            }
+            assertTrue(rig.await(r -> r.view("g1", "g5").equals("DEAD") && r.view("g4", "g2").equals("DEAD"), MOST_MS));
+            rig.heal();
+            assertTrue(rig.await(r -> r.allAlive(ALL), MOST_MS), "one fleet again: " + rig.history());
+        }
+    }
+}
