--- /dev/null
+++ b/gateway/src/test/java/opalcove/platform/MembershipSectionTest.java
@@ -0,0 +1,59 @@
+package opalcove.platform;
+
+import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertThrows;
+import static org.testng.Assert.assertTrue;
+import static org.testng.Assert.expectThrows;
+
+import java.nio.charset.StandardCharsets;
+import java.util.List;
+import opalcove.cluster.Datagrams;
+import opalcove.cluster.MembershipSettings;
+import opalcove.gateway.BadSettings;
+import opalcove.gateway.Fields;
+import opalcove.membership.Member;
+import opalcove.membership.Message;
+import opalcove.membership.Word;
+import org.testng.annotations.Test;
+
+/** The section membership of the configuration, and datagrams between members: bad ones are told with key and reason. */
+public class MembershipSectionTest {
+    private static final Member SELF = new Member("g1", "127.0.0.1:7000", 17, Member.State.ALIVE);
+
+    @Test
+    public void aMessageReadIsTheOneWritten() {
+        Message message = new Message(Message.Kind.PING_REQ, SELF, 42, "g3", "127.0.0.1:7003",
+                List.of(new Word(new Member("g2", "127.0.0.1:7002", 3, Member.State.SUSPECT), "g4"),
+                        new Word(SELF, "")));
+        assertEquals(Datagrams.read(Datagrams.write(message)), message);
+    }
+
+    @Test
+    public void aDatagramThatIsCutOffAtAnyByteOrIsNoMessageIsRefused() {
+        byte[] whole = Datagrams.write(new Message(Message.Kind.PING, SELF, 1, "g2", "", List.of(new Word(SELF, ""))));
+        String text = new String(whole, StandardCharsets.UTF_8);
+        for (int length = 0; length < whole.length; length++) {
+            byte[] torn = text.substring(0, length).getBytes(StandardCharsets.UTF_8);
+            assertThrows(BadSettings.class, () -> Datagrams.read(torn));
+        }
+        for (String[] wrong : new String[][] {{"\"k\":\"PING\"", "\"k\":\"DANCE\"", "field k"},
+            {"\"n\":\"g1\"", "\"n\":\"\"", "name"}, {"\"i\":17", "\"i\":\"x\"", "i must be a number"}}) {
+            BadSettings refused = expectThrows(BadSettings.class, () -> Datagrams.read(
+                    text.replace(wrong[0], wrong[1]).getBytes(StandardCharsets.UTF_8)));
+            assertTrue(refused.getMessage().contains(wrong[2]), refused.getMessage());
+        }
+    }
+
+    @Test
+    public void aSectionWithAWrongValueIsRefusedByItsKey() {
+        String good = "{\"listen\":\"127.0.0.1:0\",\"seeds\":[\"127.0.0.1:7001\"],\"probe_ms\":500}";
+        assertEquals(MembershipSettings.read(Fields.parse(good)).figures().ackMs(), 200);
+        for (String[] wrong : new String[][] {{"127.0.0.1:0", "nowhere", "membership.listen"},
+            {"127.0.0.1:7001", "here", "membership.seeds"}, {"500", "5", "membership.probe_ms"},
+            {"500", "\"soon\"", "probe_ms"}, {"\"listen\"", "\"at\"", "listen is missing"}}) {
+            BadSettings refused = expectThrows(BadSettings.class,
+                    () -> MembershipSettings.read(Fields.parse(good.replace(wrong[0], wrong[1]))));
+            assertTrue(refused.getMessage().contains(wrong[2]), refused.getMessage());
+        }
+    }
+}
--- a/laboratory/src/main/java/opalcove/laboratory/ClusterRig.java
+++ b/laboratory/src/main/java/opalcove/laboratory/ClusterRig.java
@@ -157,9 +157,14 @@
         proxy.net(name, own);
     }
 
-    /** Datagrams passed on so far, and their bytes. */
-    public long[] passed() {
-        return proxy.passed();
+    /** Datagrams that members sent so far. */
+    public long offered() {
+        return proxy.offered();
+    }
+
+    /** Their bytes. */
+    public long bytes() {
+        return proxy.bytes();
     }
 
     /** The port of a member's console. */
--- a/laboratory/src/main/java/opalcove/laboratory/FaultProxy.java
+++ b/laboratory/src/main/java/opalcove/laboratory/FaultProxy.java
@@ -42,7 +42,7 @@
     private MembershipModel.Net net = new MembershipModel.Net(0, 0, 0, 0);
     private final Map<String, MembershipModel.Net> nets = new HashMap<>();
     private long order;
-    private long passed;
+    private long offered;
     private long bytes;
 
     FaultProxy(long seed) throws IOException {
@@ -84,9 +84,14 @@
         cuts.clear();
     }
 
-    /** Datagrams passed on so far, and their bytes. */
-    synchronized long[] passed() {
-        return new long[] {passed, bytes};
+    /** Datagrams that members sent so far. */
+    synchronized long offered() {
+        return offered;
+    }
+
+    /** Their bytes. */
+    synchronized long bytes() {
+        return bytes;
     }
 
     private void run() {
@@ -129,6 +134,8 @@
                 continue;
             }
             real.put(from, source);
+            offered++;
+            bytes += datagram.length;
             carry(door, from, to, datagram);
         }
     }
@@ -151,12 +158,10 @@
             return;
         }
         try {
-            passed++;
-            bytes += each.bytes().length;
             each.by().send(ByteBuffer.wrap(each.bytes()), target);
         } catch (IOException e) {
             // As lost on its way: its member has ended.
-            passed--;
+            return;
         }
     }
 
--- /dev/null
+++ b/laboratory/src/main/java/opalcove/laboratory/MembershipTrial.java
@@ -0,0 +1,155 @@
+package opalcove.laboratory;
+
+import com.eclipsesource.json.Json;
+import com.eclipsesource.json.JsonObject;
+import java.io.IOException;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Locale;
+import java.util.function.Predicate;
+import opalcove.membership.Figures;
+import opalcove.membership.Member.State;
+import org.HdrHistogram.Histogram;
+
+/**
+ * Membership's figures, by the rig's real processes or by the model: how long a crash and a leave take to be known to all,
+ * messages a member and second at rest, deaths told of members that lived. Rounds of a crash, a restart, a leave and a
+ * restart, each of another member; the first two, through which others join, stay.
+ */
+public final class MembershipTrial {
+    /** What is tried. */
+    public record Plan(int members, int probeMs, int rounds, long seed, double loss, long restMs) { }
+
+    /** Times in ms, over observers and rounds. */
+    public record Report(String by, Plan plan, long crashP50, long crashP99, long leaveP50, long leaveP99,
+                         double messagesPerMemberSecond, int falseDeaths) {
+        /** One line for people. */
+        public String line() {
+            return String.format(Locale.ROOT, "%-6s %4d members  crash known p50 %5d ms p99 %5d ms  leave known p50 %4d ms"
+                    + " p99 %4d ms  %.1f messages a member and second at rest  %d false deaths", by, plan.members(),
+                    crashP50, crashP99, leaveP50, leaveP99, messagesPerMemberSecond, falseDeaths);
+        }
+
+        public JsonObject json() {
+            return Json.object().add("by", by).add("members", plan.members()).add("probe_ms", plan.probeMs())
+                    .add("rounds", plan.rounds()).add("seed", plan.seed()).add("loss", plan.loss())
+                    .add("crash_p50_ms", crashP50).add("crash_p99_ms", crashP99).add("leave_p50_ms", leaveP50)
+                    .add("leave_p99_ms", leaveP99).add("messages_per_member_second", messagesPerMemberSecond)
+                    .add("false_deaths", falseDeaths);
+        }
+    }
+
+    private static final long MOST_MS = 120_000;
+
+    private final Plan plan;
+    private final Histogram crashes = new Histogram(3);
+    private final Histogram leaves = new Histogram(3);
+    private final List<String> names = new ArrayList<>();
+
+    private MembershipTrial(Plan plan) {
+        if (plan.members() < 4 || plan.rounds() < 1) {
+            throw new IllegalArgumentException("a trial needs 4 members and a round at least");
+        }
+        this.plan = plan;
+        for (int i = 0; i < plan.members(); i++) {
+            names.add(String.format("g%04d", i));
+        }
+    }
+
+    private MembershipModel.Net net() {
+        return new MembershipModel.Net(plan.loss(), 0, 0, 1);
+    }
+
+    private String victim(int turn) {
+        return names.get(2 + turn % (plan.members() - 2));
+    }
+
+    /** By the model, in virtual time. */
+    public static Report model(Plan plan) {
+        MembershipTrial trial = new MembershipTrial(plan);
+        MembershipModel model = new MembershipModel(plan.seed(), Figures.of(plan.probeMs()), trial.names.subList(0, 2));
+        model.net(trial.net());
+        trial.names.forEach(model::start);
+        model.run(40L * plan.probeMs());
+        long before = model.messages();
+        model.run(plan.restMs());
+        double rate = (model.messages() - before) * 1000.0 / plan.restMs() / plan.members();
+        int falseDeaths = 0;
+        for (int round = 0; round < plan.rounds(); round++) {
+            for (State end : List.of(State.DEAD, State.LEFT)) {
+                String victim = trial.victim(2 * round + (end == State.DEAD ? 0 : 1));
+                int from = model.history().size();
+                long at = model.now();
+                if (end == State.DEAD) {
+                    model.kill(victim);
+                } else {
+                    model.leave(victim);
+                }
+                model.run(20L * plan.probeMs());
+                for (MembershipModel.Change each : model.history().subList(from, model.history().size())) {
+                    boolean its = each.after().name().equals(victim);
+                    if (its && each.after().state() == end) {
+                        (end == State.DEAD ? trial.crashes : trial.leaves).recordValue(each.at() - at);
+                    }
+                    falseDeaths += each.after().state() == State.DEAD && !its ? 1 : 0;
+                }
+                model.start(victim);
+                model.run(20L * plan.probeMs());
+            }
+        }
+        return trial.report("model", rate, falseDeaths);
+    }
+
+    /** By real processes on this machine. */
+    public static Report rig(Plan plan) throws IOException, InterruptedException {
+        MembershipTrial trial = new MembershipTrial(plan);
+        try (ClusterRig rig = new ClusterRig(plan.seed(), plan.probeMs(), trial.names.subList(0, 2))) {
+            rig.net(trial.net());
+            for (String name : trial.names) {
+                rig.start(name);
+            }
+            wait(rig, r -> r.allAlive(trial.names), "the members to come together");
+            Thread.sleep(20L * plan.probeMs());
+            long before = rig.offered();
+            Thread.sleep(plan.restMs());
+            double rate = (rig.offered() - before) * 1000.0 / plan.restMs() / plan.members();
+            int falseDeaths = 0;
+            for (int round = 0; round < plan.rounds(); round++) {
+                for (String end : List.of("DEAD", "LEFT")) {
+                    String victim = trial.victim(2 * round + (end.equals("DEAD") ? 0 : 1));
+                    int from = rig.history().size();
+                    long at = System.currentTimeMillis();
+                    if (end.equals("DEAD")) {
+                        rig.kill(victim);
+                    } else {
+                        rig.leave(victim);
+                    }
+                    wait(rig, r -> trial.names.stream().allMatch(name -> name.equals(victim)
+                            || r.view(name, victim).equals(end)), victim + " to be told " + end);
+                    for (ClusterRig.Event each : rig.history().subList(from, rig.history().size())) {
+                        boolean its = each.name().equals(victim);
+                        if (its && each.state().equals(end)) {
+                            (end.equals("DEAD") ? trial.crashes : trial.leaves).recordValue(each.atMs() - at);
+                        }
+                        falseDeaths += each.state().equals("DEAD") && !its ? 1 : 0;
+                    }
+                    rig.start(victim);
+                    wait(rig, r -> r.allAlive(trial.names), victim + " to be taken back");
+                }
+            }
+            return trial.report("rig", rate, falseDeaths);
+        }
+    }
+
+    private static void wait(ClusterRig rig, Predicate<ClusterRig> wanted, String what) throws IOException,
+            InterruptedException {
+        if (!rig.await(wanted, MOST_MS)) {
+            throw new IOException("waited " + MOST_MS + " ms in vain for " + what);
+        }
+    }
+
+    private Report report(String by, double rate, int falseDeaths) {
+        return new Report(by, plan, crashes.getValueAtPercentile(50), crashes.getValueAtPercentile(99),
+                leaves.getValueAtPercentile(50), leaves.getValueAtPercentile(99), rate, falseDeaths);
+    }
+}
