--- /dev/null
+++ b/laboratory/src/main/java/opalcove/laboratory/RigScenario.java
@@ -0,0 +1,149 @@
+package opalcove.laboratory;
+
+import java.io.IOException;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Set;
+import java.util.function.Consumer;
+import opalcove.gateway.BadSettings;
+import opalcove.gateway.Check;
+import opalcove.gateway.Fields;
+
+/**
+ * A scenario for the cluster rig, from a file: members, and steps that start, pause, kill or end them, cut and heal their
+ * ways, wait for what they tell of one another, and say what they must not have told. Seeded, each wait bounded.
+ */
+public record RigScenario(long seed, int probeMs, List<String> seeds, long mostMs, List<Step> steps) {
+    /** What a step does. */
+    public enum Action { START, KILL, LEAVE, PAUSE, RESUME, CUT, HEAL, NET, AWAIT, NEVER }
+
+    /**
+     * One step. {@code who}: whom it is done to, the senders for CUT, the observers for AWAIT and NEVER; {@code of}: the
+     * receivers for CUT, the observed for AWAIT and NEVER; forMs: for PAUSE, 0 for until RESUME.
+     */
+    public record Step(Action action, List<String> who, List<String> of, String state, long forMs,
+                       MembershipModel.Net net) { }
+
+    private static final Set<String> KEYS = Set.of("seed", "probe_ms", "members", "seeds", "most_s", "steps");
+    private static final Set<String> STATES = Set.of("ALIVE", "SUSPECT", "DEAD", "LEFT");
+    private static final int MOST_MEMBERS = 64;
+
+    /** Reads a scenario; all that is wrong with it is told at once, by file, key and reason. */
+    public static RigScenario read(Path file) {
+        Check check = new Check(file);
+        Fields fields = check.fields(KEYS);
+        List<String> members = check.ask(() -> fields.texts("members"), List.of());
+        if (members.isEmpty() || members.size() > MOST_MEMBERS) {
+            check.problem("field members must name 1 to " + MOST_MEMBERS + " members");
+        }
+        List<String> seeds = check.ask(() -> fields.texts("seeds"), List.of());
+        known(check, "seeds", seeds, members);
+        int probeMs = check.ask(() -> fields.wholeOr("probe_ms", 500), 500);
+        int mostS = check.ask(() -> fields.wholeOr("most_s", 60), 60);
+        if (probeMs < 20 || mostS < 1 || mostS > 3600) {
+            check.problem("field probe_ms must be at least 20, and most_s from 1 to 3600");
+        }
+        List<Step> steps = new ArrayList<>();
+        for (Fields each : check.ask(() -> fields.objects("steps"), List.<Fields>of())) {
+            Step step = check.ask(() -> step(each, members), null);
+            if (step != null) {
+                known(check, each.path() + ".who", step.who(), members);
+                known(check, each.path() + ".of", step.of(), members);
+                steps.add(step);
+            }
+        }
+        if (steps.isEmpty()) {
+            check.problem("field steps must hold a step");
+        }
+        long seed = check.ask(() -> fields.has("seed") ? fields.serial("seed") : 1L, 1L);
+        check.end();
+        return new RigScenario(seed, probeMs, seeds, mostS * 1000L, steps);
+    }
+
+    private static void known(Check check, String key, List<String> names, List<String> members) {
+        names.stream().filter(name -> !members.contains(name))
+                .forEach(name -> check.problem("field " + key + " names " + name + ", which is no member"));
+    }
+
+    private static Step step(Fields f, List<String> members) {
+        Action action = f.choice("do", Action.class);
+        List<String> who = f.has("who") ? f.texts("who") : members;
+        List<String> of = f.has("of") ? f.texts("of") : members;
+        boolean tells = action == Action.AWAIT || action == Action.NEVER;
+        String state = tells ? f.text("state") : "";
+        if (tells && !STATES.contains(state)) {
+            throw new BadSettings("field " + f.path() + ".state must be one of " + STATES);
+        }
+        int forMs = f.wholeOr("for_ms", 0);
+        double loss = f.numberOr("loss", 0);
+        double repeated = f.numberOr("repeated", 0);
+        int least = f.wholeOr("least_ms", 0);
+        int most = f.wholeOr("most_ms", least);
+        if (loss < 0 || loss > 1 || repeated < 0 || repeated > 1 || least < 0 || most < least || forMs < 0) {
+            throw new BadSettings("field " + f.path() + " must have shares from 0 to 1 and times that are not below 0");
+        }
+        return new Step(action, who, of, state, forMs, new MembershipModel.Net(loss, repeated, least, most));
+    }
+
+    /**
+     * Plays the scenario with real processes. Gives what did not come to be, empty where all did; the history so far is in
+     * the consumer's hands, each event once, when it ends.
+     */
+    public List<String> play(Consumer<ClusterRig.Event> events) throws IOException, InterruptedException {
+        List<String> wrong = new ArrayList<>();
+        try (ClusterRig rig = new ClusterRig(seed, probeMs, seeds)) {
+            for (int i = 0; i < steps.size() && wrong.isEmpty(); i++) {
+                if (!play(rig, steps.get(i))) {
+                    wrong.add("steps[" + i + "] " + steps.get(i).action() + ": " + steps.get(i).of() + " "
+                            + steps.get(i).state() + " is not as " + steps.get(i).who() + " have told it");
+                }
+            }
+            rig.history().forEach(events);
+        }
+        return wrong;
+    }
+
+    private boolean play(ClusterRig rig, Step step) throws IOException, InterruptedException {
+        switch (step.action()) {
+            case NET -> rig.net(step.net());
+            case HEAL -> rig.heal();
+            case AWAIT -> {
+                return rig.await(r -> pairs(step, (observer, name) -> r.view(observer, name).equals(step.state())), mostMs);
+            }
+            case NEVER -> {
+                return rig.history().stream().noneMatch(each -> each.state().equals(step.state())
+                        && step.who().contains(each.observer()) && step.of().contains(each.name()));
+            }
+            default -> {
+                for (String who : step.who()) {
+                    act(rig, step, who);
+                }
+            }
+        }
+        return true;
+    }
+
+    private static void act(ClusterRig rig, Step step, String who) throws IOException, InterruptedException {
+        switch (step.action()) {
+            case START -> rig.start(who);
+            case KILL -> rig.kill(who);
+            case LEAVE -> rig.leave(who);
+            case RESUME -> rig.resume(who);
+            case CUT -> step.of().forEach(to -> rig.cut(who, to));
+            case PAUSE -> {
+                if (step.forMs() > 0) {
+                    rig.pauseFor(who, step.forMs());
+                } else {
+                    rig.pause(who);
+                }
+            }
+            default -> throw new IllegalStateException("no act on one member: " + step.action());
+        }
+    }
+
+    private static boolean pairs(Step step, java.util.function.BiPredicate<String, String> holds) {
+        return step.who().stream().allMatch(observer -> step.of().stream()
+                .allMatch(name -> name.equals(observer) || holds.test(observer, name)));
+    }
+}
--- a/laboratory/src/test/java/opalcove/laboratory/ClusterRigTest.java
+++ b/laboratory/src/test/java/opalcove/laboratory/ClusterRigTest.java
@@ -2,8 +2,13 @@
 
 import static org.testng.Assert.assertEquals;
 import static org.testng.Assert.assertTrue;
+import static org.testng.Assert.expectThrows;
 
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
 import java.util.List;
+import opalcove.gateway.BadSettings;
 import org.testng.annotations.Test;
 
 /**
@@ -32,19 +37,29 @@
         return rig.history().stream().filter(each -> each.state().equals("DEAD") && !each.name().equals(name)).toList();
     }
 
+    /** The scenario that the example tells: short pauses, loss and a one-sided cut are no death, a crash is one. */
     @Test
-    public void shortPausesLossAndOneSidedCutsAreNoDeathAndACrashIsOne() throws Exception {
-        try (ClusterRig rig = fleet(1)) {
-            rig.net(new MembershipModel.Net(0.1, 0.02, 0, 20));
-            rig.cut("g1", "g2");
-            rig.pauseFor("g3", 1500);
-            assertTrue(rig.await(r -> allHold(r, "g3", "ALIVE"), MOST_MS));
-            rig.kill("g5");
-            assertTrue(rig.await(r -> ALL.subList(0, 4).stream().allMatch(each -> r.view(each, "g5").equals("DEAD")),
-                    MOST_MS), "the crash is told by all: " + rig.history());
-            assertEquals(deathsBut(rig, "g5"), List.of());
-            rig.start("g5");
-            assertTrue(rig.await(r -> allHold(r, "g5", "ALIVE"), MOST_MS), "it is taken back: " + rig.history());
+    public void theExampleComesOutAsItWants() throws Exception {
+        List<ClusterRig.Event> events = new ArrayList<>();
+        List<String> wrong = RigScenario.read(Path.of("example/rig-faults.json")).play(events::add);
+        assertEquals(wrong, List.of(), events.toString());
+        assertTrue(events.stream().anyMatch(each -> each.state().equals("DEAD") && each.name().equals("g5")));
+    }
+
+    @Test
+    public void allThatIsWrongWithAScenarioIsToldByFileKeyAndReason() throws Exception {
+        String text = Files.readString(Path.of("example/rig-faults.json"));
+        Path file = Files.createTempFile("scenario", ".json");
+        try {
+            Files.writeString(file, text.replace("\"loss\": 0.1", "\"loss\": 1.1").replace("[\"g1\"], \"of\"",
+                    "[\"g9\"], \"of\"").replace("\"do\": \"kill\"", "\"do\": \"hit\"").replace("\"most_s\"", "\"most\""));
+            String told = expectThrows(BadSettings.class, () -> RigScenario.read(file)).getMessage();
+            for (String part : List.of("field most is not known", "steps[2] must have shares", "names g9",
+                    "steps[6].do has an unknown value hit", file.toString())) {
+                assertTrue(told.contains(part), told);
+            }
+        } finally {
+            Files.delete(file);
         }
     }
 
