--- a/cli/src/main/java/opalcove/cli/MembershipTrialCommand.java
+++ b/cli/src/main/java/opalcove/cli/MembershipTrialCommand.java
@@ -24,6 +24,9 @@
     private double loss;
     @Option(names = "--rest-ms", defaultValue = "10000", description = "time at rest in which messages are counted")
     private long restMs;
+    @Option(names = "--soak-s", defaultValue = "0", description = "seconds of pauses of three probe periods, one member"
+            + " after another, before the rounds; deaths told meanwhile are false (default: ${DEFAULT-VALUE})")
+    private long soakS;
     @Option(names = "--model-only", description = "no processes, the model alone")
     private boolean modelOnly;
     @Option(names = "--json", description = "print a list of objects")
@@ -31,7 +34,7 @@
 
     @Override
     public Integer call() throws Exception {
-        MembershipTrial.Plan plan = new MembershipTrial.Plan(members, probeMs, rounds, seed, loss, restMs);
+        MembershipTrial.Plan plan = new MembershipTrial.Plan(members, probeMs, rounds, seed, loss, restMs, soakS * 1000);
         List<MembershipTrial.Report> reports = new ArrayList<>();
         reports.add(MembershipTrial.model(plan));
         if (!modelOnly) {
--- a/laboratory/src/main/java/opalcove/laboratory/MembershipTrial.java
+++ b/laboratory/src/main/java/opalcove/laboratory/MembershipTrial.java
@@ -6,6 +6,8 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Locale;
+import java.util.SplittableRandom;
+import java.util.concurrent.TimeUnit;
 import java.util.function.Predicate;
 import opalcove.membership.Figures;
 import opalcove.membership.Member.State;
@@ -17,8 +19,8 @@
  * restart, each of another member; the first two, through which others join, stay.
  */
 public final class MembershipTrial {
-    /** What is tried. */
-    public record Plan(int members, int probeMs, int rounds, long seed, double loss, long restMs) { }
+    /** What is tried; in the soak, before the rounds, a drawn member stands still for three probe periods every so often. */
+    public record Plan(int members, int probeMs, int rounds, long seed, double loss, long restMs, long soakMs) { }
 
     /** Times in ms, over observers and rounds. */
     public record Report(String by, Plan plan, long crashP50, long crashP99, long leaveP50, long leaveP99,
@@ -32,7 +34,7 @@
 
         public JsonObject json() {
             return Json.object().add("by", by).add("members", plan.members()).add("probe_ms", plan.probeMs())
-                    .add("rounds", plan.rounds()).add("seed", plan.seed()).add("loss", plan.loss())
+                    .add("rounds", plan.rounds()).add("seed", plan.seed()).add("loss", plan.loss()).add("soak_ms", plan.soakMs())
                     .add("crash_p50_ms", crashP50).add("crash_p99_ms", crashP99).add("leave_p50_ms", leaveP50)
                     .add("leave_p99_ms", leaveP99).add("messages_per_member_second", messagesPerMemberSecond)
                     .add("false_deaths", falseDeaths);
@@ -40,6 +42,9 @@
     }
 
     private static final long MOST_MS = 120_000;
+    /** Probe periods that a member stands still for in the soak, and from one such pause to the next. */
+    private static final int PAUSE_PERIODS = 3;
+    private static final int PAUSE_EVERY = 20;
 
     private final Plan plan;
     private final Histogram crashes = new Histogram(3);
@@ -74,7 +79,12 @@
         long before = model.messages();
         model.run(plan.restMs());
         double rate = (model.messages() - before) * 1000.0 / plan.restMs() / plan.members();
-        int falseDeaths = 0;
+        SplittableRandom pauses = new SplittableRandom(plan.seed());
+        for (long end = model.now() + plan.soakMs(); model.now() < end;) {
+            model.pause(trial.names.get(pauses.nextInt(plan.members())), (long) PAUSE_PERIODS * plan.probeMs());
+            model.run((long) PAUSE_EVERY * plan.probeMs());
+        }
+        int falseDeaths = (int) model.history().stream().filter(each -> each.after().state() == State.DEAD).count();
         for (int round = 0; round < plan.rounds(); round++) {
             for (State end : List.of(State.DEAD, State.LEFT)) {
                 String victim = trial.victim(2 * round + (end == State.DEAD ? 0 : 1));
@@ -113,7 +123,12 @@
             long before = rig.offered();
             Thread.sleep(plan.restMs());
             double rate = (rig.offered() - before) * 1000.0 / plan.restMs() / plan.members();
-            int falseDeaths = 0;
+            SplittableRandom pauses = new SplittableRandom(plan.seed());
+            for (long end = System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(plan.soakMs()); System.nanoTime() < end;) {
+                rig.pauseFor(trial.names.get(pauses.nextInt(plan.members())), (long) PAUSE_PERIODS * plan.probeMs());
+                Thread.sleep((long) (PAUSE_EVERY - PAUSE_PERIODS) * plan.probeMs());
+            }
+            int falseDeaths = (int) rig.history().stream().filter(each -> each.state().equals("DEAD")).count();
             for (int round = 0; round < plan.rounds(); round++) {
                 for (String end : List.of("DEAD", "LEFT")) {
                     String victim = trial.victim(2 * round + (end.equals("DEAD") ? 0 : 1));
