Share one quiet stand-in of links in three tests, and count bytes in the trial

Found by the read-over: three copies of the same stand-in of NodeLinks, a console port of the rig that nobody asked for, bytes that nobody read. Change: QuietLinks; the port is gone; membership-trial tells bytes.

--- a/gateway/src/test/java/opalcove/gateway/RetuneTest.java
+++ b/gateway/src/test/java/opalcove/gateway/RetuneTest.java
@@ -116,25 +116,12 @@
         return done.get(10, TimeUnit.SECONDS);
     }
 
-    private final class HeldLinks implements NodeLinks {
+    private final class HeldLinks extends QuietLinks {
         @Override
         public Attempt attempt(AppNode node, Ask ask, double waitMs, Ended ended) {
             attempts.add(ask.id());
             out.add(ended);
             return () -> { };
         }
-
-        @Override
-        public void forget(AppNode node) { }
-
-        @Override
-        public int open() {
-            return 0;
-        }
-
-        @Override
-        public int resting() {
-            return 0;
-        }
     }
 }
--- a/gateway/src/test/java/opalcove/platform/LongValueTest.java
+++ b/gateway/src/test/java/opalcove/platform/LongValueTest.java
@@ -29,6 +29,7 @@
 import opalcove.gateway.NodeEnd;
 import opalcove.gateway.NodeLinks;
 import opalcove.gateway.Phases;
+import opalcove.gateway.QuietLinks;
 import org.testng.annotations.AfterMethod;
 import org.testng.annotations.BeforeMethod;
 import org.testng.annotations.Test;
@@ -228,7 +229,7 @@
     }
 
     /** Links whose attempt the test ends. */
-    private static final class HeldLinks implements NodeLinks {
+    private static final class HeldLinks extends QuietLinks {
         final CompletableFuture<Ended> attempt = new CompletableFuture<>();
         final CompletableFuture<Void> givenUp = new CompletableFuture<>();
 
@@ -237,18 +238,5 @@
             attempt.complete(ended);
             return () -> givenUp.complete(null);
         }
-
-        @Override
-        public void forget(AppNode node) { }
-
-        @Override
-        public int open() {
-            return 0;
-        }
-
-        @Override
-        public int resting() {
-            return 0;
-        }
     }
 }
--- a/gateway/src/test/java/opalcove/platform/SendAwayTest.java
+++ b/gateway/src/test/java/opalcove/platform/SendAwayTest.java
@@ -17,8 +17,8 @@
 import opalcove.gateway.Clock;
 import opalcove.gateway.Endpoint;
 import opalcove.gateway.Gateway;
-import opalcove.gateway.NodeLinks;
 import opalcove.gateway.Phases;
+import opalcove.gateway.QuietLinks;
 import org.testng.annotations.AfterMethod;
 import org.testng.annotations.BeforeMethod;
 import org.testng.annotations.Test;
@@ -154,23 +154,10 @@
     }
 
     /** No app node is asked in this test. */
-    private static final class NoLinks implements NodeLinks {
+    private static final class NoLinks extends QuietLinks {
         @Override
         public Attempt attempt(AppNode node, Ask ask, double waitMs, Ended ended) {
             throw new AssertionError("no attempt is made here");
         }
-
-        @Override
-        public void forget(AppNode node) { }
-
-        @Override
-        public int open() {
-            return 0;
-        }
-
-        @Override
-        public int resting() {
-            return 0;
-        }
     }
 }
--- a/laboratory/src/main/java/opalcove/laboratory/ClusterRig.java
+++ b/laboratory/src/main/java/opalcove/laboratory/ClusterRig.java
@@ -11,7 +11,6 @@
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.ArrayList;
-import java.util.HashMap;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
@@ -32,7 +31,6 @@
     private final int probeMs;
     private final List<String> seeds;
     private final Map<String, Process> processes = new LinkedHashMap<>();
-    private final Map<String, Integer> consoles = new HashMap<>();
     private final List<Event> history = new ArrayList<>();
 
     /** A rig whose faults are drawn by the seed; its members join through those of the names given. */
@@ -49,14 +47,12 @@
     /** Starts a member, or starts it again at its address. */
     public void start(String name) throws IOException {
         Path config = folder.resolve(name + ".json");
-        int console = freePort();
-        consoles.put(name, console);
         JsonArray joins = new JsonArray();
         seeds.forEach(joins::add);
         JsonObject membership = Json.object().add("listen", "127.0.0.1:0").add("advertise", proxy.door(name))
                 .add("seeds", joins).add("probe_ms", probeMs).add("events", true);
         Files.writeString(config, Json.object().add("name", name).add("listen", "127.0.0.1:0")
-                .add("console", "127.0.0.1:" + console).add("discovery", "127.0.0.1:" + freePort())
+                .add("discovery", "127.0.0.1:" + freePort())
                 .add("rehearsal_ms", 0).add("membership", membership)
                 .add("settings", Json.parse(Laboratory.settingsText())).toString());
         ProcessBuilder builder = new ProcessBuilder(Path.of(System.getProperty("java.home"), "bin", "java").toString(),
@@ -167,11 +163,6 @@
         return proxy.bytes();
     }
 
-    /** The port of a member's console. */
-    public int console(String name) {
-        return consoles.get(name);
-    }
-
     /** All events so far, in the order in which they came in. */
     public synchronized List<Event> history() {
         return List.copyOf(history);
--- a/laboratory/src/main/java/opalcove/laboratory/MembershipTrial.java
+++ b/laboratory/src/main/java/opalcove/laboratory/MembershipTrial.java
@@ -22,14 +22,16 @@
     /** What is tried; in the soak, before the rounds, a drawn member stands still for three probe periods every so often. */
     public record Plan(int members, int probeMs, int rounds, long seed, double loss, long restMs, long soakMs) { }
 
-    /** Times in ms, over observers and rounds. */
+    /** Times in ms, over observers and rounds; the model writes no bytes, and counts 0 of them. */
     public record Report(String by, Plan plan, long crashP50, long crashP99, long leaveP50, long leaveP99,
-                         double messagesPerMemberSecond, int falseDeaths) {
+                         double messagesPerMemberSecond, double bytesPerMemberSecond, int falseDeaths) {
         /** One line for people. */
         public String line() {
             return String.format(Locale.ROOT, "%-6s %4d members  crash known p50 %5d ms p99 %5d ms  leave known p50 %4d ms"
-                    + " p99 %4d ms  %.1f messages a member and second at rest  %d false deaths", by, plan.members(),
-                    crashP50, crashP99, leaveP50, leaveP99, messagesPerMemberSecond, falseDeaths);
+                    + " p99 %4d ms  %.1f messages%s a member and second at rest  %d false deaths", by,
+                    plan.members(), crashP50, crashP99, leaveP50, leaveP99, messagesPerMemberSecond,
+                    bytesPerMemberSecond > 0 ? String.format(Locale.ROOT, ", %.0f bytes", bytesPerMemberSecond) : "",
+                    falseDeaths);
         }
 
         public JsonObject json() {
@@ -37,7 +39,7 @@
                     .add("rounds", plan.rounds()).add("seed", plan.seed()).add("loss", plan.loss()).add("soak_ms", plan.soakMs())
                     .add("crash_p50_ms", crashP50).add("crash_p99_ms", crashP99).add("leave_p50_ms", leaveP50)
                     .add("leave_p99_ms", leaveP99).add("messages_per_member_second", messagesPerMemberSecond)
-                    .add("false_deaths", falseDeaths);
+                    .add("bytes_per_member_second", bytesPerMemberSecond).add("false_deaths", falseDeaths);
         }
     }
 
@@ -107,7 +109,7 @@
                 model.run(20L * plan.probeMs());
             }
         }
-        return trial.report("model", rate, falseDeaths);
+        return trial.report("model", rate, 0, falseDeaths);
     }
 
     /** By real processes on this machine. */
@@ -121,8 +123,10 @@
             wait(rig, r -> r.allAlive(trial.names), "the members to come together");
             Thread.sleep(20L * plan.probeMs());
             long before = rig.offered();
+            long bytesBefore = rig.bytes();
             Thread.sleep(plan.restMs());
             double rate = (rig.offered() - before) * 1000.0 / plan.restMs() / plan.members();
+            double bytes = (rig.bytes() - bytesBefore) * 1000.0 / plan.restMs() / plan.members();
             SplittableRandom pauses = new SplittableRandom(plan.seed());
             for (long end = System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(plan.soakMs()); System.nanoTime() < end;) {
                 rig.pauseFor(trial.names.get(pauses.nextInt(plan.members())), (long) PAUSE_PERIODS * plan.probeMs());
@@ -152,7 +156,7 @@
                     wait(rig, r -> r.allAlive(trial.names), victim + " to be taken back");
                 }
             }
-            return trial.report("rig", rate, falseDeaths);
+            return trial.report("rig", rate, bytes, falseDeaths);
         }
     }
 
@@ -163,8 +167,9 @@
         }
     }
 
-    private Report report(String by, double rate, int falseDeaths) {
+    private Report report(String by, double rate, double bytes, int falseDeaths) {
         return new Report(by, plan, crashes.getValueAtPercentile(50), crashes.getValueAtPercentile(99),
-                leaves.getValueAtPercentile(50), leaves.getValueAtPercentile(99), rate, falseDeaths);
+                leaves.getValueAtPercentile(50), leaves.getValueAtPercentile(99), rate, bytes,
+                falseDeaths);
     }
 }
