Publish membership's figures at each tick, not at each datagram

Cause, found by the read-over: every datagram rebuilt all figures and the whole member list, work that grows with the fleet for texts that are seldom read. Change: published at each tick, a gossip period (100 ms at 0.5 s probes) apart at most; a datagram only sets the timer.

--- a/gateway/src/main/java/opalcove/cluster/Membership.java
+++ b/gateway/src/main/java/opalcove/cluster/Membership.java
@@ -8,6 +8,7 @@
 import io.vertx.core.datagram.DatagramPacket;
 import io.vertx.core.datagram.DatagramSocket;
 import io.vertx.core.datagram.DatagramSocketOptions;
+import java.util.Locale;
 import java.util.SplittableRandom;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
@@ -21,7 +22,8 @@
 /**
  * This process as a member of the gateways' fleet: the protocol's part ({@link Swim}) on datagrams and timers. It runs on
  * an event loop of its own, apart from client work, whose turns would look to the others like silence. What others read
- * of it ({@link #lines}, {@link #members}) is published after each turn.
+ * of it ({@link #lines}, {@link #members}) is published at each tick, a gossip period apart at most: not at each datagram,
+ * whose cost would grow with the fleet.
  */
 public final class Membership {
     private static final int BUFFER = 1 << 20;
@@ -71,12 +73,12 @@
 
     private void tick() {
         swim.tick(now());
-        turned();
+        publish();
+        arm();
     }
 
-    /** After each turn: publishes what is known, and sets the timer to when there is work. */
-    private void turned() {
-        publish();
+    /** Sets the timer to when there is work. */
+    private void arm() {
         if (timer >= 0) {
             vertx.cancelTimer(timer);
         }
@@ -93,12 +95,11 @@
         } catch (BadSettings e) {
             unreadable++;
             Logger.debug("membership: a datagram is not read: {}", e.getMessage());
-            publish();
             return;
         }
         received++;
         swim.receive(now(), message);
-        turned();
+        arm();
     }
 
     /** Tells the others that this member goes; to be called some gossip periods before the process ends. */
@@ -106,7 +107,8 @@
         vertx.runOnContext(told -> {
             if (swim != null && swim.self().state() == Member.State.ALIVE) {
                 swim.leave(now());
-                turned();
+                publish();
+                arm();
             }
         });
     }
@@ -143,7 +145,7 @@
 
     private static void line(StringBuilder text, Member member) {
         text.append(member.name()).append(' ').append(member.address()).append(' ').append(member.incarnation())
-                .append(' ').append(member.state().name().toLowerCase(java.util.Locale.ROOT)).append('\n');
+                .append(' ').append(member.state().name().toLowerCase(Locale.ROOT)).append('\n');
     }
 
     /** The figures, a line each, in the form of the other figures. */
