--- a/gateway/src/main/java/opalcove/gateway/Gateway.java
+++ b/gateway/src/main/java/opalcove/gateway/Gateway.java
@@ -8,8 +8,10 @@
 import java.util.ArrayDeque;
 import java.util.ArrayList;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
 import opalcove.decision.Admission;
 import opalcove.decision.Policy;
 import org.tinylog.Logger;
@@ -26,6 +28,8 @@
     private static final double ANSWER_MARGIN_MS = 25;
     /** The last moment for a final answer should the module give none, ms before the terminal gives up. */
     private static final double GUARD_MARGIN_MS = 5;
+    /** How often the nodes that are avoided are counted, ms: figures may lag by twice that. */
+    private static final double AVOIDED_MS = 250;
 
     private final Clock clock;
     private final Alarms alarms;
@@ -51,6 +55,7 @@
         guards = new Guards(settings, nodes);
         current = new Generation(settings, seed);
         generations.add(current);
+        alarms.set(AVOIDED_MS, new CountAvoided());
     }
 
     /**
@@ -60,7 +65,7 @@
     final class Generation {
         final Admission.Settings settings;
         final AskRules rules;
-        final Admission module;
+        final Policy module;
         private final LongObjectMap<Wake> wakes = new LongObjectHashMap<>();
         /** Asks taken under it and not closed. */
         private int open;
@@ -330,13 +335,32 @@
     /** Takes in the node list, whole or its changed lines. */
     public void nodesTold(boolean whole, List<AppNode> lines) {
         nodes.told(whole, lines).forEach(links::forget);
-        List<AppNode> listed = nodes.all();
-        metrics.hosts(listed.size(), (int) listed.stream().filter(node -> nodes.open(node.name()) == null).count());
         List<Admission.Host> hosts = lines.stream().map(AppNode::host).toList();
         generations.removeIf(Generation::done);
         for (Generation each : generations) {
             tell(() -> each.module.hosts(clock.now(), whole, hosts));
         }
+        tell(this::countAvoided);
+    }
+
+    /** Listed nodes that get no new work now, be it by the list's word or by the module's. */
+    private void countAvoided() {
+        Set<String> used = new HashSet<>();
+        for (Policy.Room each : current.module.rooms(clock.now())) {
+            if (each.share() > 0) {
+                used.add(each.host());
+            }
+        }
+        List<AppNode> listed = nodes.all();
+        metrics.hosts(listed.size(), (int) listed.stream().filter(node -> !used.contains(node.name())).count());
+    }
+
+    private final class CountAvoided extends Alarms.Alarm {
+        @Override
+        void ring() {
+            tell(Gateway.this::countAvoided);
+            alarms.set(AVOIDED_MS, this);
+        }
     }
 
     /** The node list as last told. */
--- a/gateway/src/test/java/opalcove/gateway/RetuneTest.java
+++ b/gateway/src/test/java/opalcove/gateway/RetuneTest.java
@@ -82,6 +82,26 @@
         assertEquals(((Answer.Failed) later.get(0)).reason(), "unknown class");
     }
 
+    @Test
+    public void aNodeThatIsAvoidedAfterFailedConnectsCountsAsDown() throws Exception {
+        onLoop(() -> {
+            gateway.nodesTold(true, List.of(node("n1"), node("n2")));
+            return gateway.serve(ask("a1", "slot-status"), answer -> { });
+        });
+        assertTrue(figures().containsAll(List.of("gateway.hosts_listed:2|g", "gateway.hosts_down:0|g")));
+        onLoop(() -> {
+            out.remove(0).ended(NodeEnd.silent(Admission.Result.UNREACHABLE));
+            gateway.nodesTold(false, List.of());
+            return null;
+        });
+        assertTrue(figures().containsAll(List.of("gateway.hosts_listed:2|g", "gateway.hosts_down:1|g")),
+                figures().toString());
+    }
+
+    private List<String> figures() {
+        return gateway.metrics().lines().lines().toList();
+    }
+
     @Test
     public void settingsWithNoAttemptOrNoTimeAreTurnedDownWithTheirKey() {
         for (String bad : List.of(Facts.JSON.replace("\"max_attempts\":6", "\"max_attempts\":0"),
