--- a/laboratory/src/main/java/opalcove/laboratory/MembershipModel.java
+++ b/laboratory/src/main/java/opalcove/laboratory/MembershipModel.java
@@ -114,6 +114,16 @@
         node.arm();
     }
 
+    /** Starts members that know one another from before, as a fleet that has run for long. */
+    public void startKnown(List<String> names) {
+        names.forEach(name -> nodes.put(name, new Node(name)));
+        List<Member> all = names.stream().map(name -> nodes.get(name).swim.self()).toList();
+        for (String name : names) {
+            nodes.get(name).swim.know(all);
+            nodes.get(name).arm();
+        }
+    }
+
     /** Ends a member at once, telling nobody. */
     public void kill(String name) {
         nodes.get(name).up = false;
--- a/laboratory/src/main/java/opalcove/laboratory/MembershipTrial.java
+++ b/laboratory/src/main/java/opalcove/laboratory/MembershipTrial.java
@@ -44,6 +44,8 @@
     }
 
     private static final long MOST_MS = 120_000;
+    /** A larger fleet is modelled from where its members know one another: the join of so many is no figure of the trial. */
+    private static final int MOST_JOINING = 200;
     /** Probe periods that a member stands still for in the soak, and from one such pause to the next. */
     private static final int PAUSE_PERIODS = 3;
     private static final int PAUSE_EVERY = 20;
@@ -76,7 +78,11 @@
         MembershipTrial trial = new MembershipTrial(plan);
         MembershipModel model = new MembershipModel(plan.seed(), Figures.of(plan.probeMs()), trial.names.subList(0, 2));
         model.net(trial.net());
-        trial.names.forEach(model::start);
+        if (plan.members() > MOST_JOINING) {
+            model.startKnown(trial.names);
+        } else {
+            trial.names.forEach(model::start);
+        }
         model.run(40L * plan.probeMs());
         long before = model.messages();
         model.run(plan.restMs());
--- a/laboratory/src/main/java/opalcove/laboratory/RigScenario.java
+++ b/laboratory/src/main/java/opalcove/laboratory/RigScenario.java
@@ -20,7 +20,8 @@
 
     /**
      * One step. {@code who}: whom it is done to, the senders for CUT, the observers for AWAIT and NEVER; {@code of}: the
-     * receivers for CUT, the observed for AWAIT and NEVER; forMs: for PAUSE, 0 for until RESUME.
+     * receivers for CUT, the observed for AWAIT and NEVER; forMs: for PAUSE, 0 for until RESUME. NET without {@code who} is
+     * everybody's net, with it that of all that these members send and get.
      */
     public record Step(Action action, List<String> who, List<String> of, String state, long forMs,
                        MembershipModel.Net net) { }
@@ -68,7 +69,7 @@
 
     private static Step step(Fields f, List<String> members) {
         Action action = f.choice("do", Action.class);
-        List<String> who = f.has("who") ? f.texts("who") : members;
+        List<String> who = f.has("who") ? f.texts("who") : action == Action.NET ? List.of() : members;
         List<String> of = f.has("of") ? f.texts("of") : members;
         boolean tells = action == Action.AWAIT || action == Action.NEVER;
         String state = tells ? f.text("state") : "";
@@ -106,7 +107,12 @@
 
     private boolean play(ClusterRig rig, Step step) throws IOException, InterruptedException {
         switch (step.action()) {
-            case NET -> rig.net(step.net());
+            case NET -> {
+                if (step.who().isEmpty()) {
+                    rig.net(step.net());
+                }
+                step.who().forEach(name -> rig.net(name, step.net()));
+            }
             case HEAL -> rig.heal();
             case AWAIT -> {
                 return rig.await(r -> pairs(step, (observer, name) -> r.view(observer, name).equals(step.state())), mostMs);
--- a/membership/src/main/java/opalcove/membership/Swim.java
+++ b/membership/src/main/java/opalcove/membership/Swim.java
@@ -137,6 +137,20 @@
         pass(Word.of(self));
     }
 
+    /**
+     * Takes in members known from before, as of a snapshot: held for alive until a probe says otherwise, and not passed on,
+     * for it is no news. Who is known already stays as known.
+     */
+    public void know(Collection<Member> members) {
+        for (Member each : members) {
+            if (each.present() && !each.name().equals(self.name()) && !others.containsKey(each.name())) {
+                others.put(each.name(), new Entry(each.as(State.ALIVE)));
+            }
+        }
+        present = null;
+        version++;
+    }
+
     /** This member, as it knows itself. */
     public Member self() {
         return self;
