--- a/cli/src/test/java/opalcove/cli/LayersTest.java
+++ b/cli/src/test/java/opalcove/cli/LayersTest.java
@@ -1,11 +1,15 @@
 package opalcove.cli;
 
+import static com.tngtech.archunit.base.DescribedPredicate.not;
+import static com.tngtech.archunit.core.domain.JavaClass.Predicates.equivalentTo;
+import static com.tngtech.archunit.core.domain.JavaClass.Predicates.resideOutsideOfPackages;
 import static com.tngtech.archunit.library.Architectures.layeredArchitecture;
 import static com.tngtech.archunit.lang.syntax.ArchRuleDefinition.noClasses;
 
 import com.tngtech.archunit.core.domain.JavaClasses;
 import com.tngtech.archunit.core.importer.ClassFileImporter;
 import com.tngtech.archunit.core.importer.ImportOption;
+import java.io.Serializable;
 import org.testng.annotations.Test;
 
 /** Dependencies point inwards; what lies between modules is kept by their poms, the rest here. */
@@ -18,6 +22,8 @@
         layeredArchitecture().consideringOnlyDependenciesInLayers()
                 .layer("decision").definedBy("opalcove.decision..")
                 .layer("membership").definedBy("opalcove.membership..")
+                .layer("agreement").definedBy("opalcove.agreement..")
+                .layer("versions").definedBy("opalcove.versions..")
                 .layer("cluster").definedBy("opalcove.cluster..")
                 .layer("loop").definedBy("opalcove.loop..")
                 .layer("core").definedBy("opalcove.gateway..")
@@ -27,10 +33,12 @@
                 .layer("laboratory").definedBy("opalcove.laboratory..")
                 .layer("programs").definedBy("opalcove", "opalcove.cli..")
                 .whereLayer("membership").mayOnlyBeAccessedByLayers("cluster", "laboratory")
-                .whereLayer("cluster").mayOnlyBeAccessedByLayers("platform", "laboratory")
+                .whereLayer("agreement").mayOnlyBeAccessedByLayers("versions", "laboratory", "programs")
+                .whereLayer("versions").mayOnlyBeAccessedByLayers("laboratory", "programs")
+                .whereLayer("cluster").mayOnlyBeAccessedByLayers("versions", "platform", "laboratory")
                 .whereLayer("loop").mayOnlyBeAccessedByLayers("core", "laboratory")
-                .whereLayer("core").mayOnlyBeAccessedByLayers("cluster", "platform", "mqtt", "control", "laboratory",
-                        "programs")
+                .whereLayer("core").mayOnlyBeAccessedByLayers("cluster", "versions", "platform", "mqtt", "control",
+                        "laboratory", "programs")
                 .whereLayer("platform").mayOnlyBeAccessedByLayers("mqtt", "laboratory", "programs")
                 .whereLayer("mqtt").mayOnlyBeAccessedByLayers("laboratory", "programs")
                 .whereLayer("control").mayOnlyBeAccessedByLayers("laboratory", "programs")
@@ -40,12 +48,14 @@
                 .check(PRODUCT);
     }
 
-    /** The decisions stand on the JDK alone and do no I/O. */
+    /** The decisions stand on the JDK alone and do no I/O; what is agreed on may be written as it is. */
     @Test
     public void theDecisionsDoNothingButDecide() {
-        for (String each : new String[] {"opalcove.decision..", "opalcove.membership.."}) {
-            noClasses().that().resideInAPackage(each).should().dependOnClassesThat()
-                    .resideOutsideOfPackages(each, "java.lang..", "java.util..").check(PRODUCT);
+        for (String each : new String[] {"opalcove.decision..", "opalcove.membership..",
+            "opalcove.agreement.."}) {
+            noClasses().that().resideInAPackage(each).should().dependOnClassesThat(
+                    resideOutsideOfPackages(each, "java.lang..", "java.util..")
+                            .and(not(equivalentTo(Serializable.class)))).check(PRODUCT);
         }
     }
 
--- /dev/null
+++ b/gateway/src/main/java/opalcove/cluster/AgreedState.java
@@ -0,0 +1,33 @@
+package opalcove.cluster;
+
+import io.vertx.core.Future;
+import io.vertx.core.Vertx;
+import java.util.List;
+import java.util.function.Consumer;
+import opalcove.decision.Admission;
+import opalcove.gateway.AppNode;
+import opalcove.gateway.Fields;
+
+/**
+ * Settings and node list by versions on which the gateways agree. Off without the section {@code agreement}; a program that
+ * has no part for it (the platform's) refuses that section.
+ */
+public interface AgreedState {
+    /** What to act on; nodes is null where the list stays discovery's; strict: only what cannot contradict others is in it. */
+    record Acting(long version, Admission.Settings settings, List<AppNode> nodes, boolean strict) { }
+
+    /** Makes the part of this process; found by the service loader. */
+    interface Provider {
+        /** own: an event loop of its own; settings: those of the file, of which what is this gateway's alone stays. */
+        AgreedState make(Vertx own, String name, Fields section, Admission.Settings settings, Consumer<String> events);
+    }
+
+    /** Begins; done once the others have said which version is in force, or that there is none. act: on any thread. */
+    Future<Void> start(Consumer<Acting> act);
+
+    /** What to act on where a confirmed version has lapsed and was not yet told so; null else. For any thread. */
+    Acting lapsed();
+
+    /** The figures, a line each. For any thread. */
+    String lines();
+}
--- a/gateway/src/main/java/opalcove/gateway/Gateway.java
+++ b/gateway/src/main/java/opalcove/gateway/Gateway.java
@@ -46,6 +46,7 @@
     private int retunes;
     private Generation current;
     private boolean inTurn;
+    private Runnable beforeEachAsk;
 
     public Gateway(Vertx vertx, Clock clock, Admission.Settings settings, long seed, NodeLinks links) {
         this.clock = clock;
@@ -98,6 +99,11 @@
         tell(() -> told.module.hosts(clock.now(), true, listed));
     }
 
+    /** Has this run before each ask is taken: a process that stood still may have settings that hold no more. */
+    public void beforeEachAsk(Runnable look) {
+        beforeEachAsk = look;
+    }
+
     /** Who asked: the front's side of one ask. */
     public interface Asker {
         /** The one final answer. Its value is lent: it holds for the time of this call, and who keeps it copies it. */
@@ -128,6 +134,9 @@
      */
     public UnderWay serve(Ask ask, Asker asker) {
         counters.taken++;
+        if (beforeEachAsk != null) {
+            beforeEachAsk.run();
+        }
         Admission.RequestClass requestClass;
         try {
             requestClass = current.rules.requestClass(current.rules.check(ask).requestClass());
--- a/gateway/src/main/java/opalcove/platform/Config.java
+++ b/gateway/src/main/java/opalcove/platform/Config.java
@@ -15,12 +15,12 @@
 import opalcove.gateway.SettingsReader;
 
 /**
- * What the platform tells a gateway at its start; console is null where no operators' door is named, membership where the
- * gateways do not talk, as on the platform. rehearsalMs is how long the start may rehearse, 0 for not at all.
+ * What the platform tells a gateway at its start; console is null where no operators' door is named, membership and
+ * agreement (read by who has a part for it) where the gateways do not talk, as on the platform. rehearsalMs is how long the start may rehearse, 0 for not at all.
  */
 public record Config(String name, Endpoint listen, Endpoint console, Endpoint discovery, long seed, int sockets,
                      List<AppNode> known, long knownIndex, Admission.Settings settings, int rehearsalMs,
-                     MembershipSettings membership) {
+                     MembershipSettings membership, Fields agreement) {
     /**
      * How long the rehearsal may take with all its waits, ms; it is over sooner on a whole core. The platform allows a
      * start 6 s to its yes, of which the machine may take its part first.
@@ -61,7 +61,8 @@
                 f.has("known") && f.object("known").has("index") ? f.object("known").serial("index")
                         : DiscoveryWatch.NO_INDEX,
                 SettingsReader.checked(f.object("settings")), rehearsalMs,
-                f.has("membership") ? MembershipSettings.read(f.object("membership")) : null);
+                f.has("membership") ? MembershipSettings.read(f.object("membership")) : null,
+                f.has("agreement") ? f.object("agreement") : null);
     }
 
     private static long seed(Fields f) {
--- a/gateway/src/main/java/opalcove/platform/Serve.java
+++ b/gateway/src/main/java/opalcove/platform/Serve.java
@@ -1,11 +1,16 @@
 package opalcove.platform;
 
 import io.vertx.core.Future;
+import io.vertx.core.Promise;
 import io.vertx.core.Vertx;
+import java.util.List;
 import java.util.Locale;
+import java.util.ServiceLoader;
 import java.util.SplittableRandom;
 import java.util.concurrent.TimeUnit;
+import opalcove.cluster.AgreedState;
 import opalcove.cluster.Membership;
+import opalcove.gateway.AppNode;
 import opalcove.gateway.BadSettings;
 import opalcove.gateway.Budget;
 import opalcove.gateway.Clock;
@@ -19,6 +24,9 @@
 public final class Serve {
     /** How long to wait for discovery's first answer before the list known from before, if any, must do, ms. */
     private static final long FIRST_LIST_MS = 1000;
+    /** How long to wait for a voter's word on the version in force, ms. */
+    private static final long FIRST_VERSION_MS = 10_000;
+
     private Serve() {
     }
 
@@ -38,6 +46,8 @@
         }
         Membership membership = join(config);
         door.membership = membership;
+        AgreedState agreed = agree(config);
+        door.agreed = agreed;
         Logger.info("rehearsed {} asks", Rehearsal.play(Program::eventLoop, config.settings(),
                 Budget.ofMs(config.rehearsalMs())));
         Program program = new Program();
@@ -46,8 +56,9 @@
                     config.sockets() * 2 / 5);
             Gateway gateway = new Gateway(vertx, new Clock(), config.settings(), config.seed(), links);
             RespFront front = new RespFront(vertx, gateway, program.phases(), config.sockets() * 2 / 5);
+            Versions versions = new Versions(gateway);
             DiscoveryWatch discovery = new DiscoveryWatch(vertx, config.discovery(), config.settings(),
-                    new SplittableRandom(config.seed()), gateway::nodesTold);
+                    new SplittableRandom(config.seed()), versions::discovered);
             program.atEnd(gateway, front::drain);
             if (membership != null) {
                 program.phases().watch(phase -> {
@@ -61,12 +72,13 @@
                 // An empty list would make every node of discovery's first one look newly started, and cold.
                 gateway.nodesTold(true, config.known());
             }
-            hangups.listen(() -> reload(config, vertx, discovery, gateway));
+            hangups.listen(() -> reload(config, vertx, discovery, gateway, versions));
             // A list known from before may be out of date: asks must not go to a node that the agent could have told is
             // gone. Where one service has to be asked it will do, for waiting on that only keeps a gateway away longer.
             boolean knownWillDo = config.settings().duties().listOnRequest() && !config.known().isEmpty();
             Future<Void> listed = knownWillDo ? discovery.startFrom(config.knownIndex()) : discovery.start();
-            (knownWillDo ? Future.succeededFuture() : listed.timeout(FIRST_LIST_MS, TimeUnit.MILLISECONDS))
+            Future<?> first = knownWillDo ? Future.succeededFuture() : listed.timeout(FIRST_LIST_MS, TimeUnit.MILLISECONDS);
+            (agreed == null ? first : first.eventually(() -> versions.follow(vertx, agreed)))
                     .onComplete(ready -> program.open(front.listen(config.listen())));
         });
     }
@@ -85,11 +97,72 @@
         return membership;
     }
 
+    /** Takes part in agreed versions where the settings have it; the platform's program has no part for that. */
+    private static AgreedState agree(Config config) {
+        if (config.agreement() == null) {
+            return null;
+        }
+        return ServiceLoader.load(AgreedState.Provider.class).findFirst()
+                .orElseThrow(() -> new BadSettings("field agreement: this program has no part for it, opalcove.jar has"))
+                .make(Program.eventLoop(), config.name(), config.agreement(), config.settings(), System.out::println);
+    }
+
+    /** The gateway by agreed versions; without any, by its own file and by discovery. On the gateway's event loop. */
+    private static final class Versions {
+        private final Gateway gateway;
+        private AgreedState.Acting acting;
+
+        Versions(Gateway gateway) {
+            this.gateway = gateway;
+        }
+
+        /** Acts on what is agreed from now on; done once that is known, or after so long that clients are taken without. */
+        Future<Void> follow(Vertx vertx, AgreedState agreed) {
+            gateway.beforeEachAsk(() -> {
+                AgreedState.Acting lapsed = agreed.lapsed();
+                if (lapsed != null && acting != null && !acting.strict()) {
+                    act(lapsed);
+                }
+            });
+            Promise<Void> known = Promise.promise();
+            agreed.start(next -> vertx.runOnContext(told -> act(next))).onFailure(e -> {
+                Logger.error("cannot listen at agreement.listen: {}", e.getMessage());
+                Runtime.getRuntime().halt(1);
+            }).onSuccess(heard -> vertx.runOnContext(told -> known.tryComplete()));
+            vertx.setTimer(FIRST_VERSION_MS, due -> {
+                if (known.tryComplete()) {
+                    Logger.error("no voter has said which version is in force: clients are taken by the file's settings");
+                }
+            });
+            return known.future();
+        }
+
+        private void act(AgreedState.Acting next) {
+            acting = next;
+            gateway.retune(next.settings());
+            if (next.nodes() != null) {
+                gateway.nodesTold(true, next.nodes());
+            }
+        }
+
+        /** Discovery's word holds where no agreed version has the list. */
+        void discovered(boolean whole, List<AppNode> lines) {
+            if (acting == null || acting.nodes() == null) {
+                gateway.nodesTold(whole, lines);
+            }
+        }
+
+        boolean hold() {
+            return acting != null;
+        }
+    }
+
     /**
      * The file was replaced: discovery moves and new settings are taken at once (asks under way keep theirs); a file
      * that cannot be used leaves the old one in force, whole.
      */
-    private static void reload(Config started, Vertx vertx, DiscoveryWatch discovery, Gateway gateway) {
+    private static void reload(Config started, Vertx vertx, DiscoveryWatch discovery, Gateway gateway,
+                               Versions versions) {
         try {
             Config config = Config.read(System.getenv());
             gateway.metrics().reconfigured(true);
@@ -97,7 +170,9 @@
                 Logger.warn("a new address to listen at needs a restart: the old one stays");
             }
             vertx.runOnContext(read -> {
-                if (!config.settings().equals(gateway.settings())) {
+                if (versions.hold()) {
+                    Logger.warn("the file's settings are left out: an agreed version is in force");
+                } else if (!config.settings().equals(gateway.settings())) {
                     Logger.info("new settings are in force: {} classes", config.settings().classes().size());
                     gateway.retune(config.settings());
                 }
@@ -120,6 +195,7 @@
         private Gateway gateway;
         private RespFront front;
         private volatile Membership membership;
+        private volatile AgreedState agreed;
 
         synchronized void serve(Vertx loop, Gateway wired, RespFront wiredFront, Phases phases) {
             vertx = loop;
@@ -141,7 +217,8 @@
 
         @Override
         public synchronized String figures() {
-            return (gateway == null ? "" : gateway.metrics().lines()) + (membership == null ? "" : membership.lines());
+            return (gateway == null ? "" : gateway.metrics().lines()) + (membership == null ? "" : membership.lines())
+                    + (agreed == null ? "" : agreed.lines());
         }
 
         @Override
--- /dev/null
+++ b/laboratory/src/main/java/opalcove/laboratory/AgreementTrial.java
@@ -0,0 +1,395 @@
+package opalcove.laboratory;
+
+import com.eclipsesource.json.Json;
+import com.eclipsesource.json.JsonObject;
+import java.io.Closeable;
+import java.io.IOException;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Locale;
+import java.util.SplittableRandom;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.Executors;
+import java.util.concurrent.ScheduledExecutorService;
+import java.util.concurrent.TimeUnit;
+import opalcove.agreement.Registry;
+import opalcove.agreement.Standing;
+import org.HdrHistogram.Histogram;
+
+/**
+ * Agreed versions' figures, by the rig's real processes or by the model: how long it takes from a proposal until each gateway,
+ * and the last of them, acts on it; and, under drawn faults, the longest time two gateways acted on different versions.
+ */
+public final class AgreementTrial {
+    /** What is tried; half of the gateways vote, nine at most, an odd number of them. */
+    public record Plan(int gateways, int leaseMs, int rounds, long seed) {
+        public Plan {
+            if (gateways < 3 || rounds < 1) {
+                throw new IllegalArgumentException("a trial needs 3 gateways and a round at least");
+            }
+        }
+
+        int voters() {
+            return gateways < 6 ? 3 : 5;
+        }
+    }
+
+    /** Times in ms from the proposal: until a gateway acts on it, over gateways and rounds, and until all do, over rounds. */
+    public record Report(String by, Plan plan, long eachP50, long eachP99, long allP50, long allP99) {
+        /** One line for people. */
+        public String line() {
+            return String.format(Locale.ROOT, "%-6s %4d gateways, %d vote  a gateway acts on it after p50 %4d ms p99 %4d ms"
+                    + "  all do after p50 %4d ms p99 %4d ms", by, plan.gateways(), plan.voters(), eachP50, eachP99, allP50,
+                    allP99);
+        }
+
+        public JsonObject json() {
+            return Json.object().add("by", by).add("gateways", plan.gateways()).add("voters", plan.voters())
+                    .add("lease_ms", plan.leaseMs()).add("rounds", plan.rounds()).add("seed", plan.seed())
+                    .add("each_p50_ms", eachP50).add("each_p99_ms", eachP99).add("all_p50_ms", allP50)
+                    .add("all_p99_ms", allP99);
+        }
+    }
+
+    /** One run of drawn faults: proposals taken and refused, the longest contradiction, and what came out wrong. */
+    public record FaultRun(String by, long seed, long taken, long refused, long longestMs, List<String> wrong) {
+        public JsonObject json() {
+            JsonObject json = Json.object().add("by", by).add("seed", seed).add("taken", taken).add("refused", refused)
+                    .add("longest_contradiction_ms", longestMs);
+            var list = Json.array();
+            wrong.forEach(list::add);
+            return json.add("wrong", list);
+        }
+    }
+
+    /** Gateways that agree on versions, be they processes or modelled; what a run of drawn faults does to them. */
+    private interface Fleet extends Closeable {
+        void propose(String through, long base, int turn) throws Exception;
+
+        void pause(String name, long ms) throws Exception;
+
+        void cut(String from, String to);
+
+        void heal();
+
+        void kill(String name) throws Exception;
+
+        void net(MembershipModel.Net net);
+
+        void run(long ms) throws Exception;
+
+        long newest();
+
+        boolean allActOn(long version);
+
+        /** Outcomes of all proposals, taken or not; null for one that is not known yet. */
+        List<Boolean> outcomes();
+
+        List<Contradictions.Case> over(long boundMs);
+    }
+
+    private static final long MOST_MS = 60_000;
+    private static final int STEPS = 12;
+    private static final long LONGEST_STEP_MS = 2000;
+    private static final long STEP_MS = 500;
+    /** What whole milliseconds of two processes' clocks differ by. */
+    private static final long ROUNDING_MS = 5;
+
+    private AgreementTrial() {
+    }
+
+    private static String document(int turn) {
+        JsonObject settings = Json.parse(Laboratory.settingsText()).asObject();
+        settings.get("ceilings").asObject().set("max_attempts", 1 + turn % 6);
+        return Json.object().add("settings", settings).toString();
+    }
+
+    private static List<String> names(Plan plan) {
+        List<String> names = new ArrayList<>();
+        for (int i = 1; i <= plan.gateways(); i++) {
+            names.add("g" + i);
+        }
+        return names;
+    }
+
+    /** Proposals one after another, by the model. */
+    public static Report model(Plan plan) {
+        AgreementModel model = new AgreementModel(plan.seed(), plan.gateways(), plan.voters(), plan.leaseMs(), 0);
+        model.run(10_000);
+        Histogram each = new Histogram(3);
+        Histogram all = new Histogram(3);
+        for (int round = 1; round <= plan.rounds(); round++) {
+            long at = model.now();
+            model.propose("g1", round - 1, "text " + round);
+            for (long waited = 0; !model.allActOn(round) && waited < MOST_MS; waited += 100) {
+                model.run(100);
+            }
+            model.adopted(round).values().forEach(when -> each.recordValue(when - at));
+            all.recordValue(model.adopted(round).values().stream().mapToLong(when -> when - at).max().orElse(MOST_MS));
+            model.run(plan.leaseMs() + 37L * round % plan.leaseMs());
+        }
+        return report("model", plan, each, all);
+    }
+
+    /** The same by real processes on this machine. */
+    public static Report rig(Plan plan) throws IOException, InterruptedException {
+        Histogram each = new Histogram(3);
+        Histogram all = new Histogram(3);
+        List<String> names = names(plan);
+        try (ClusterRig rig = rig(plan, plan.seed())) {
+            for (int round = 1; round <= plan.rounds(); round++) {
+                long at = System.currentTimeMillis();
+                rig.operator("g1").propose(round - 1, "trial", document(round));
+                String wanted = round + " FULL";
+                if (!rig.await(r -> names.stream().allMatch(name -> r.actsOn(name).equals(wanted)), MOST_MS)) {
+                    throw new IOException("waited " + MOST_MS + " ms in vain for all to act on version " + round);
+                }
+                long last = 0;
+                for (JsonObject event : rig.versionEvents()) {
+                    if (event.getLong("version", 0) == round && event.getString("mode", "").equals("FULL")) {
+                        each.recordValue(Math.max(0, event.getLong("at_ms", 0) - at));
+                        last = Math.max(last, event.getLong("at_ms", 0) - at);
+                    }
+                }
+                all.recordValue(last);
+                Thread.sleep(plan.leaseMs() / 4 + 37L * round % plan.leaseMs());
+            }
+        }
+        return report("rig", plan, each, all);
+    }
+
+    private static ClusterRig rig(Plan plan, long seed) throws IOException, InterruptedException {
+        List<String> names = names(plan);
+        ClusterRig rig = new ClusterRig(seed, 500, names.subList(0, 2), names.subList(0, plan.voters()), plan.leaseMs());
+        for (String name : names) {
+            rig.start(name);
+        }
+        // A round of the voters ends when they all have come up: the answer tells that there is no version.
+        rig.operator("g1").show();
+        return rig;
+    }
+
+    private static Report report(String by, Plan plan, Histogram each, Histogram all) {
+        return new Report(by, plan, each.getValueAtPercentile(50), each.getValueAtPercentile(99),
+                all.getValueAtPercentile(50), all.getValueAtPercentile(99));
+    }
+
+    /** A run of drawn faults by the model, whose clocks are off by up to 200 ms. */
+    public static FaultRun modelFaults(Plan plan, long seed) throws Exception {
+        return faults("model", new ModelFleet(plan, seed), plan, seed);
+    }
+
+    /** A run of drawn faults by real processes. */
+    public static FaultRun rigFaults(Plan plan, long seed) throws Exception {
+        return faults("rig", new RigFleet(plan, seed), plan, seed);
+    }
+
+    private static FaultRun faults(String by, Fleet made, Plan plan, long seed) throws Exception {
+        List<String> wrong = new ArrayList<>();
+        try (Fleet fleet = made) {
+            SplittableRandom draw = new SplittableRandom(seed);
+            fleet.net(new MembershipModel.Net(draw.nextDouble(0.2), 0.05, 0, 20));
+            boolean killed = false;
+            for (int step = 0; step < STEPS; step++) {
+                String one = "g" + (1 + draw.nextInt(plan.gateways()));
+                String other = "g" + (1 + draw.nextInt(plan.gateways()));
+                switch (draw.nextInt(6)) {
+                    case 0 -> fleet.pause(one, draw.nextLong(5L * plan.leaseMs() / 2));
+                    case 1 -> fleet.cut(one, other);
+                    case 2 -> {
+                        fleet.cut(one, other);
+                        fleet.cut(other, one);
+                    }
+                    case 3 -> fleet.heal();
+                    case 4 -> {
+                        if (!killed) {
+                            fleet.kill(one);
+                            killed = true;
+                        }
+                    }
+                    default -> { }
+                }
+                fleet.propose("g" + (1 + draw.nextInt(plan.voters())), fleet.newest(), step);
+                fleet.run(draw.nextLong(LONGEST_STEP_MS));
+            }
+            fleet.heal();
+            fleet.net(MembershipModel.Net.SOUND);
+            for (long waited = 0; waited < MOST_MS && !settled(fleet); waited += STEP_MS) {
+                fleet.run(STEP_MS);
+            }
+            if (!settled(fleet)) {
+                wrong.add("not all proposals are decided, or not all act on the newest version: " + fleet.outcomes());
+            }
+            fleet.over(plan.leaseMs() + ROUNDING_MS).forEach(each -> wrong.add(each.toString()));
+            long taken = fleet.outcomes().stream().filter(Boolean.TRUE::equals).count();
+            return new FaultRun(by, seed, taken, STEPS - taken,
+                    fleet.over(0).stream().mapToLong(Contradictions.Case::ms).findFirst().orElse(0), wrong);
+        }
+    }
+
+    private static boolean settled(Fleet fleet) {
+        List<Boolean> outcomes = fleet.outcomes();
+        return !outcomes.contains(null) && fleet.allActOn(outcomes.stream().filter(taken -> taken).count());
+    }
+
+    private static final class ModelFleet implements Fleet {
+        private final AgreementModel model;
+        private final List<AgreementModel.Proposed> proposals = new ArrayList<>();
+
+        ModelFleet(Plan plan, long seed) {
+            model = new AgreementModel(seed, plan.gateways(), plan.voters(), plan.leaseMs(), 200);
+            model.run(5000);
+        }
+
+        @Override
+        public void propose(String through, long base, int turn) {
+            proposals.add(model.propose(through, base, "text " + turn));
+        }
+
+        @Override
+        public void pause(String name, long ms) {
+            model.pause(name, ms);
+        }
+
+        @Override
+        public void cut(String from, String to) {
+            model.cut(from, to);
+        }
+
+        @Override
+        public void heal() {
+            model.heal();
+        }
+
+        @Override
+        public void kill(String name) {
+            model.kill(name);
+        }
+
+        @Override
+        public void net(MembershipModel.Net net) {
+            model.net(net);
+        }
+
+        @Override
+        public void run(long ms) {
+            model.run(ms);
+        }
+
+        @Override
+        public long newest() {
+            return model.standings().values().stream().mapToLong(Standing::version).max().orElse(0);
+        }
+
+        @Override
+        public boolean allActOn(long version) {
+            return model.allActOn(version);
+        }
+
+        @Override
+        public List<Boolean> outcomes() {
+            List<Boolean> outcomes = new ArrayList<>();
+            proposals.forEach(each -> outcomes.add(each.answered() ? each.taken() : null));
+            return outcomes;
+        }
+
+        @Override
+        public List<Contradictions.Case> over(long boundMs) {
+            return model.acted().over(boundMs, model.now());
+        }
+
+        @Override
+        public void close() { }
+    }
+
+    private static final class RigFleet implements Fleet {
+        private final ClusterRig rig;
+        private final List<String> running;
+        private final List<CompletableFuture<Registry.Outcome>> proposals = new ArrayList<>();
+        private final ScheduledExecutorService later = Executors.newScheduledThreadPool(2 * STEPS);
+
+        RigFleet(Plan plan, long seed) throws IOException, InterruptedException {
+            rig = rig(plan, seed);
+            running = names(plan);
+        }
+
+        @Override
+        public void propose(String through, long base, int turn) {
+            proposals.add(CompletableFuture.supplyAsync(() -> {
+                try {
+                    return rig.operator(through).propose(base, "trial", document(turn));
+                } catch (IOException e) {
+                    throw new java.io.UncheckedIOException(e);
+                }
+            }, later));
+        }
+
+        @Override
+        public void pause(String name, long ms) throws Exception {
+            if (running.contains(name)) {
+                rig.pause(name);
+                later.schedule(() -> {
+                    rig.resume(name);
+                    return null;
+                }, ms, TimeUnit.MILLISECONDS);
+            }
+        }
+
+        @Override
+        public void cut(String from, String to) {
+            rig.cut(from, to);
+        }
+
+        @Override
+        public void heal() {
+            rig.heal();
+        }
+
+        @Override
+        public void kill(String name) throws Exception {
+            if (running.remove(name)) {
+                rig.kill(name);
+            }
+        }
+
+        @Override
+        public void net(MembershipModel.Net net) {
+            rig.net(net);
+        }
+
+        @Override
+        public void run(long ms) throws InterruptedException {
+            Thread.sleep(ms);
+        }
+
+        @Override
+        public long newest() {
+            return running.stream().map(rig::actsOn).filter(acting -> !acting.isEmpty())
+                    .mapToLong(acting -> Long.parseLong(acting.split(" ")[0])).max().orElse(0);
+        }
+
+        @Override
+        public boolean allActOn(long version) {
+            return running.stream().allMatch(name -> rig.actsOn(name).equals(version == 0 ? "" : version + " FULL"));
+        }
+
+        @Override
+        public List<Boolean> outcomes() {
+            List<Boolean> outcomes = new ArrayList<>();
+            proposals.forEach(each -> outcomes.add(each.isDone() && !each.isCompletedExceptionally()
+                    ? each.join().taken() : null));
+            return outcomes;
+        }
+
+        @Override
+        public List<Contradictions.Case> over(long boundMs) {
+            return rig.contradictions(boundMs);
+        }
+
+        @Override
+        public void close() throws IOException {
+            later.shutdownNow();
+            rig.close();
+        }
+    }
+}
--- a/laboratory/src/main/java/opalcove/laboratory/ClusterRig.java
+++ b/laboratory/src/main/java/opalcove/laboratory/ClusterRig.java
@@ -16,6 +16,10 @@
 import java.util.Map;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Predicate;
+import opalcove.cluster.Datagrams;
+import opalcove.gateway.Endpoint;
+import opalcove.versions.Packet;
+import opalcove.versions.VersionClient;
 
 /**
  * Several processes of the real program on loopback, with a fault proxy between every pair. Processes are paused and
@@ -26,17 +30,37 @@
     /** A change that one process told of a member. */
     public record Event(long atMs, String observer, String name, String state, String before, long incarnation) { }
 
+    private static final long OPERATOR_MS = 30_000;
+
     private final Path folder;
     private final FaultProxy proxy;
+    private final FaultProxy versionProxy;
+    private final ServerSocket discovery = new ServerSocket(0, 64, InetAddress.getLoopbackAddress());
+    private final List<String> voters;
+    private final int leaseMs;
     private final int probeMs;
     private final List<String> seeds;
     private final Map<String, Process> processes = new LinkedHashMap<>();
     private final List<Event> history = new ArrayList<>();
+    private final List<JsonObject> versionEvents = new ArrayList<>();
+    private final Contradictions acted = new Contradictions();
 
     /** A rig whose faults are drawn by the seed; its members join through those of the names given. */
     public ClusterRig(long seed, int probeMs, List<String> seedMembers) throws IOException {
+        this(seed, probeMs, seedMembers, List.of(), 0);
+    }
+
+    /** A rig whose members also agree on versions, by the votes of those named and on leases of that length. */
+    public ClusterRig(long seed, int probeMs, List<String> seedMembers, List<String> voters, int leaseMs)
+            throws IOException {
         folder = Files.createTempDirectory("rig");
-        proxy = new FaultProxy(seed);
+        proxy = new FaultProxy(seed, datagram -> Datagrams.read(datagram).from().name());
+        versionProxy = new FaultProxy(seed + 1, datagram -> Packet.read(datagram).from());
+        this.voters = List.copyOf(voters);
+        this.leaseMs = leaseMs;
+        Thread calls = new Thread(this::endCalls, "no-discovery");
+        calls.setDaemon(true);
+        calls.start();
         this.probeMs = probeMs;
         seeds = new ArrayList<>();
         for (String each : seedMembers) {
@@ -51,10 +75,20 @@
         seeds.forEach(joins::add);
         JsonObject membership = Json.object().add("listen", "127.0.0.1:0").add("advertise", proxy.door(name))
                 .add("seeds", joins).add("probe_ms", probeMs).add("events", true);
-        Files.writeString(config, Json.object().add("name", name).add("listen", "127.0.0.1:0")
-                .add("discovery", "127.0.0.1:" + freePort())
+        JsonObject file = Json.object().add("name", name).add("listen", "127.0.0.1:0")
+                .add("discovery", "127.0.0.1:" + discovery.getLocalPort())
                 .add("rehearsal_ms", 0).add("membership", membership)
-                .add("settings", Json.parse(Laboratory.settingsText())).toString());
+                .add("settings", Json.parse(Laboratory.settingsText()));
+        if (!voters.isEmpty()) {
+            JsonArray known = new JsonArray();
+            for (String each : voters) {
+                known.add(Json.object().add("name", each).add("address", versionProxy.door(each)));
+            }
+            file.add("agreement", Json.object().add("listen", "127.0.0.1:0").add("advertise", versionProxy.door(name))
+                    .add("voters", known).add("lease_ms", leaseMs).add("state_file", state(name).toString())
+                    .add("events", true));
+        }
+        Files.writeString(config, file.toString());
         ProcessBuilder builder = new ProcessBuilder(Path.of(System.getProperty("java.home"), "bin", "java").toString(),
                 "-XX:+UseSerialGC", "-XX:TieredStopAtLevel=1", "-Xmx48m", "-cp", System.getProperty("java.class.path"),
                 "opalcove.Main", "serve").redirectError(folder.resolve(name + ".log").toFile());
@@ -68,9 +102,30 @@
         reader.start();
     }
 
-    private static int freePort() throws IOException {
-        try (ServerSocket free = new ServerSocket(0, 1, InetAddress.getLoopbackAddress())) {
-            return free.getLocalPort();
+    /** Where a member keeps its vote. */
+    public Path state(String name) {
+        return folder.resolve(name + ".state");
+    }
+
+    /** Asks the voters as an operator's command does, past all faults between members; this one first. */
+    public VersionClient operator(String first) throws IOException {
+        List<Endpoint> doors = new ArrayList<>();
+        doors.add(Endpoint.read(versionProxy.door(first), "door"));
+        for (String each : voters) {
+            doors.add(Endpoint.read(versionProxy.door(each), "door"));
+        }
+        return new VersionClient(doors, OPERATOR_MS);
+    }
+
+    /** Ends each call for a node list at once: the port is the rig's own, so that no member ever calls somebody else. */
+    private void endCalls() {
+        while (!discovery.isClosed()) {
+            try {
+                discovery.accept().close();
+            } catch (IOException e) {
+                // Closed, or the caller was gone first: the next call, if there is one, is ended too.
+                continue;
+            }
         }
     }
 
@@ -88,6 +143,11 @@
     private synchronized void event(String line) {
         try {
             JsonObject event = Json.parse(line).asObject();
+            if (!event.getString("event", "").equals("member")) {
+                version(event);
+                notifyAll();
+                return;
+            }
             history.add(new Event(event.getLong("at_ms", 0), event.getString("observer", ""),
                     event.getString("name", ""), event.getString("state", ""), event.getString("before", ""),
                     event.getLong("incarnation", 0)));
@@ -97,11 +157,55 @@
         notifyAll();
     }
 
+    private void version(JsonObject event) {
+        versionEvents.add(event);
+        if (event.getString("event", "").equals("acting")) {
+            acted.stands(event.getString("observer", ""), event.getLong("version", 0),
+                    event.getString("mode", "").equals("FULL"), event.getLong("at_ms", 0), event.getLong("ended_ms", 0));
+        }
+    }
+
+    /** What members told of agreed versions, in the order in which it came in. */
+    public synchronized List<JsonObject> versionEvents() {
+        return List.copyOf(versionEvents);
+    }
+
+    /** The version that a member last said it acts on, and how, such as {@code 2 FULL}; empty where it said nothing. */
+    public synchronized String actsOn(String name) {
+        String acting = "";
+        for (JsonObject each : versionEvents) {
+            if (each.getString("observer", "").equals(name) && each.getString("event", "").equals("acting")) {
+                acting = each.getLong("version", 0) + " " + each.getString("mode", "");
+            }
+        }
+        return acting;
+    }
+
+    /** The member that last said that it leads the voters, of those that run; empty where none does. */
+    public synchronized String leader() {
+        String leader = "";
+        for (JsonObject each : versionEvents) {
+            String name = each.getString("observer", "");
+            if (each.getString("event", "").equals("leads") && processes.containsKey(name)) {
+                leader = each.getBoolean("leads", false) ? name : leader.equals(name) ? "" : leader;
+            }
+        }
+        return leader;
+    }
+
+    /** Cases in which two members acted on different versions for longer than that. */
+    public synchronized List<Contradictions.Case> contradictions(long boundMs) {
+        return acted.over(boundMs, System.currentTimeMillis());
+    }
+
     /** Kills a member's process; it tells nobody. */
     public void kill(String name) throws InterruptedException {
         Process process = processes.remove(name);
         process.destroyForcibly();
         process.waitFor();
+        synchronized (this) {
+            acted.ended(name, System.currentTimeMillis());
+        }
     }
 
     /** Ends a member's process well (SIGTERM). */
@@ -136,21 +240,25 @@
     /** Cuts the way from one member to another, in that direction only. */
     public void cut(String from, String to) {
         proxy.cut(from, to);
+        versionProxy.cut(from, to);
     }
 
     /** Heals all cuts. */
     public void heal() {
         proxy.heal();
+        versionProxy.heal();
     }
 
     /** What happens to each datagram from now on. */
     public void net(MembershipModel.Net net) {
         proxy.net(net);
+        versionProxy.net(net);
     }
 
     /** What happens to all that one member sends and gets. */
     public void net(String name, MembershipModel.Net own) {
         proxy.net(name, own);
+        versionProxy.net(name, own);
     }
 
     /** Datagrams that members sent so far. */
@@ -203,6 +311,8 @@
         processes.values().forEach(Process::destroyForcibly);
         processes.values().forEach(process -> process.onExit().join());
         proxy.close();
+        versionProxy.close();
+        discovery.close();
         try (var files = Files.list(folder)) {
             for (Path file : files.toList()) {
                 Files.delete(file);
--- a/laboratory/src/main/java/opalcove/laboratory/FaultProxy.java
+++ b/laboratory/src/main/java/opalcove/laboratory/FaultProxy.java
@@ -18,7 +18,7 @@
 import java.util.Set;
 import java.util.SplittableRandom;
 import java.util.concurrent.TimeUnit;
-import opalcove.cluster.Datagrams;
+import java.util.function.Function;
 import opalcove.gateway.BadSettings;
 
 /**
@@ -38,6 +38,7 @@
     private final PriorityQueue<Held> held = new PriorityQueue<>(
             Comparator.comparingLong(Held::dueNanos).thenComparingLong(Held::order));
     private final SplittableRandom random;
+    private final Function<byte[], String> sender;
     private final Thread thread = new Thread(this::run, "fault-proxy");
     private MembershipModel.Net net = new MembershipModel.Net(0, 0, 0, 0);
     private final Map<String, MembershipModel.Net> nets = new HashMap<>();
@@ -45,7 +46,9 @@
     private long offered;
     private long bytes;
 
-    FaultProxy(long seed) throws IOException {
+    /** Faults are drawn by the seed; sender tells a datagram's sender, or fails with {@link BadSettings}. */
+    FaultProxy(long seed, Function<byte[], String> sender) throws IOException {
+        this.sender = sender;
         random = new SplittableRandom(seed);
         thread.setDaemon(true);
         thread.start();
@@ -129,7 +132,7 @@
             byte[] datagram = Arrays.copyOf(buffer.array(), buffer.position());
             String from;
             try {
-                from = Datagrams.read(datagram).from().name();
+                from = sender.apply(datagram);
             } catch (BadSettings e) {
                 continue;
             }
--- /dev/null
+++ b/laboratory/src/test/java/opalcove/laboratory/AgreementRigTest.java
@@ -0,0 +1,133 @@
+package opalcove.laboratory;
+
+import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertFalse;
+import static org.testng.Assert.assertTrue;
+
+import com.eclipsesource.json.Json;
+import com.eclipsesource.json.JsonObject;
+import java.io.IOException;
+import java.nio.file.Files;
+import java.util.ArrayList;
+import java.util.Arrays;
+import java.util.List;
+import java.util.concurrent.CompletableFuture;
+import opalcove.agreement.Registry;
+import org.testng.annotations.Test;
+
+/**
+ * Agreed versions among real processes, with faults between them. That no contradiction outlives the lease holds whatever the
+ * machine's speed; the few ms beside it are what whole milliseconds of two clocks differ by.
+ */
+public class AgreementRigTest {
+    private static final List<String> ALL = List.of("g1", "g2", "g3", "g4", "g5");
+    private static final List<String> VOTERS = List.of("g1", "g2", "g3");
+    private static final long MOST_MS = 60_000;
+    private static final int LEASE_MS = 1500;
+    private static final long ROUNDING_MS = 5;
+
+    private static ClusterRig fleet(long seed) throws Exception {
+        ClusterRig rig = new ClusterRig(seed, 500, List.of("g1", "g2"), VOTERS, LEASE_MS);
+        for (String name : ALL) {
+            rig.start(name);
+        }
+        assertEquals(rig.operator("g1").propose(0, "ops", document(6)), new Registry.Outcome(true, 1, ""));
+        awaitAll(rig, ALL, "1 FULL");
+        return rig;
+    }
+
+    private static String document(int attempts) {
+        JsonObject settings = Json.parse(Laboratory.settingsText()).asObject();
+        settings.get("ceilings").asObject().set("max_attempts", attempts);
+        return Json.object().add("settings", settings).toString();
+    }
+
+    private static void awaitAll(ClusterRig rig, List<String> names, String acting) throws InterruptedException {
+        assertTrue(rig.await(r -> names.stream().allMatch(name -> r.actsOn(name).equals(acting)), MOST_MS),
+                acting + ": " + rig.versionEvents());
+    }
+
+    private static List<String> but(String... names) {
+        List<String> rest = new ArrayList<>(ALL);
+        rest.removeAll(Arrays.asList(names));
+        return rest;
+    }
+
+    private static CompletableFuture<Registry.Outcome> propose(ClusterRig rig, String through, long base, int attempts) {
+        return CompletableFuture.supplyAsync(() -> {
+            try {
+                return rig.operator(through).propose(base, "ops at " + through, document(attempts));
+            } catch (IOException e) {
+                throw new java.io.UncheckedIOException(e);
+            }
+        });
+    }
+
+    @Test
+    public void aLeaderIsKilledAmidTwoChangesOfWhichOneWins() throws Exception {
+        try (ClusterRig rig = fleet(11)) {
+            assertTrue(rig.await(r -> !r.leader().isEmpty(), MOST_MS));
+            String leader = rig.leader();
+            CompletableFuture<Registry.Outcome> a = propose(rig, "g1", 1, 5);
+            CompletableFuture<Registry.Outcome> b = propose(rig, "g2", 1, 4);
+            rig.kill(leader);
+            assertTrue(a.get().taken() ^ b.get().taken(), a.get() + " " + b.get());
+            Registry.Outcome lost = a.get().taken() ? b.get() : a.get();
+            assertTrue(lost.reason().contains("version 2 by ops at g"), lost.reason());
+            awaitAll(rig, but(leader), "2 FULL");
+            rig.start(leader);
+            awaitAll(rig, ALL, "2 FULL");
+            Registry.Outcome broken = rig.operator("g1").propose(2, "ops", "{\"settings\":{}}");
+            assertFalse(broken.taken());
+            assertTrue(broken.reason().contains("field "), broken.reason());
+            assertEquals(rig.operator("g1").show().number(), 2);
+            assertEquals(rig.operator("g1").history().stream().map(Registry.Version::number).toList(), List.of(1L, 2L));
+            assertEquals(rig.contradictions(LEASE_MS + ROUNDING_MS), List.of());
+        }
+    }
+
+    @Test
+    public void aPauseAndAOneSidedCutFromTheLeaderLetNoVersionOutliveItsLease() throws Exception {
+        try (ClusterRig rig = fleet(12)) {
+            rig.cut(rig.leader(), "g4");
+            rig.pause("g5");
+            assertTrue(propose(rig, "g1", 1, 3).get().taken());
+            awaitAll(rig, but("g5"), "2 FULL");
+            assertTrue(propose(rig, "g2", 2, 2).get().taken());
+            awaitAll(rig, but("g5"), "3 FULL");
+            Thread.sleep(LEASE_MS);   // the pause is to be longer than the lease; nothing is judged by it
+            rig.resume("g5");
+            awaitAll(rig, ALL, "3 FULL");
+            assertEquals(rig.versionEvents().stream().filter(each -> each.getString("observer", "").equals("g5")
+                    && each.getString("mode", "").equals("STRICT")).count(), 1, "it was strict first");
+            assertEquals(rig.contradictions(LEASE_MS + ROUNDING_MS), List.of());
+        }
+    }
+
+    @Test
+    public void aMinorityIsStrictAndATornStateIsRefusedAndCaughtUp() throws Exception {
+        try (ClusterRig rig = fleet(13)) {
+            assertTrue(rig.await(r -> !r.leader().isEmpty(), MOST_MS));
+            String alone = rig.leader();
+            for (String each : but(alone)) {
+                rig.cut(alone, each);
+                rig.cut(each, alone);
+            }
+            String other = VOTERS.stream().filter(each -> !each.equals(alone)).findFirst().orElseThrow();
+            assertTrue(propose(rig, other, 1, 3).get().taken());
+            awaitAll(rig, but(alone), "2 FULL");
+            awaitAll(rig, List.of(alone), "1 STRICT");
+            rig.heal();
+            awaitAll(rig, ALL, "2 FULL");
+            rig.kill(alone);
+            byte[] state = Files.readAllBytes(rig.state(alone));
+            Files.write(rig.state(alone), Arrays.copyOf(state, state.length / 2));
+            assertTrue(propose(rig, other, 2, 2).get().taken());
+            rig.start(alone);
+            awaitAll(rig, ALL, "3 FULL");
+            assertTrue(rig.versionEvents().stream().anyMatch(each -> each.getString("event", "").equals("state_refused")
+                    && each.getString("reason", "").contains("torn")), rig.versionEvents().toString());
+            assertEquals(rig.contradictions(LEASE_MS + ROUNDING_MS), List.of());
+        }
+    }
+}
--- /dev/null
+++ b/versions/src/main/java/opalcove/versions/VersionedState.java
@@ -0,0 +1,226 @@
+package opalcove.versions;
+
+import com.eclipsesource.json.Json;
+import com.eclipsesource.json.JsonObject;
+import io.vertx.core.Future;
+import io.vertx.core.Promise;
+import io.vertx.core.Vertx;
+import io.vertx.core.buffer.Buffer;
+import io.vertx.core.datagram.DatagramPacket;
+import io.vertx.core.datagram.DatagramSocket;
+import io.vertx.core.datagram.DatagramSocketOptions;
+import java.io.IOException;
+import java.security.SecureRandom;
+import java.util.concurrent.TimeUnit;
+import java.util.function.Consumer;
+import opalcove.agreement.Lease;
+import opalcove.agreement.Standing;
+import opalcove.cluster.AgreedState;
+import opalcove.decision.Admission;
+import opalcove.gateway.BadSettings;
+import opalcove.gateway.Endpoint;
+import opalcove.gateway.Fields;
+import org.tinylog.Logger;
+
+/**
+ * This process's part in agreed versions, on datagrams and timers: its {@link Lease} and, where it is one of them, its
+ * {@link Voter}. It runs on an event loop of its own, apart from client work.
+ */
+public final class VersionedState implements AgreedState {
+    /** Makes it for the program that serves. */
+    public static final class Maker implements Provider {
+        @Override
+        public AgreedState make(Vertx own, String name, Fields section, Admission.Settings settings,
+                                Consumer<String> events) {
+            return new VersionedState(own, name, VersionSettings.read(name, section), settings, events);
+        }
+    }
+
+    private static final int BUFFER = 1 << 20;
+
+    private final Vertx vertx;
+    private final String name;
+    private final VersionSettings settings;
+    private final Admission.Settings own;
+    private final Consumer<String> events;
+    private final DatagramSocket socket;
+    private final Promise<Void> heard = Promise.promise();
+    private Consumer<Acting> act;
+    private VersionDesk desk;
+    private Document held;
+    private Document before;
+    private long timer = -1;
+    private long unreadable;
+    private boolean stateRefused;
+    private boolean led;
+    /** What others read: what to act on once the lease has lapsed, and when that is (Long.MAX_VALUE: it cannot). */
+    private volatile Acting strict;
+    private volatile long lapsesAt = Long.MAX_VALUE;
+    private volatile String lines = "";
+
+    VersionedState(Vertx own, String name, VersionSettings settings, Admission.Settings ownSettings,
+                   Consumer<String> events) {
+        vertx = own;
+        this.name = name;
+        this.settings = settings;
+        this.own = ownSettings;
+        this.events = events;
+        socket = own.createDatagramSocket(new DatagramSocketOptions().setReceiveBufferSize(BUFFER)
+                .setSendBufferSize(BUFFER));
+    }
+
+    private static long now() {
+        return TimeUnit.NANOSECONDS.toMillis(System.nanoTime());
+    }
+
+    @Override
+    public Future<Void> start(Consumer<Acting> acting) {
+        act = acting;
+        return socket.listen(settings.listen().port(), settings.listen().address()).compose(open -> {
+            String address = settings.advertise().isEmpty()
+                    ? settings.listen().address() + ":" + open.localAddress().port() : settings.advertise();
+            open.handler(this::received);
+            open.exceptionHandler(e -> Logger.debug("agreement: {}", e.getMessage()));
+            VoterStore store = store();
+            desk = new VersionDesk(new VersionDesk.Setup(name, address, settings.voters(), store != null, store,
+                    settings.leaseMs(), new SecureRandom(), Document::read), new Host());
+            desk.start();
+            Logger.info("agreement: {} at {}, voters {}{}", name, address, settings.voters().keySet(),
+                    desk.votes() ? ", one of them" : "");
+            tick();
+            return heard.future();
+        });
+    }
+
+    /** Where this gateway's vote is kept; null where it does not vote, or must not, since its state is refused. */
+    private VoterStore store() {
+        if (!settings.voters().containsKey(name)) {
+            return null;
+        }
+        try {
+            return VoterStore.open(settings.stateFile());
+        } catch (IOException | BadSettings e) {
+            // Without its vote and its log it could undo what was agreed: it follows the others and votes no more.
+            stateRefused = true;
+            Logger.error("agreement: the state is refused and {} does not vote: {}", name, e.getMessage());
+            event(Json.object().add("event", "state_refused").add("reason", e.getMessage()));
+            return null;
+        }
+    }
+
+    private void tick() {
+        desk.tick();
+        settle();
+    }
+
+    /** Publishes what others read, and sets the timer to when there is work. */
+    private void settle() {
+        if (desk.lease().heard()) {
+            heard.tryComplete();
+        }
+        Standing standing = desk.lease().standing();
+        lapsesAt = standing.mode() == Standing.Mode.FULL ? standing.untilMs() : Long.MAX_VALUE;
+        publish();
+        if (timer >= 0) {
+            vertx.cancelTimer(timer);
+        }
+        timer = vertx.setTimer(Math.max(1, desk.lease().due() - now()), due -> {
+            timer = -1;
+            tick();
+        });
+    }
+
+    private void received(DatagramPacket datagram) {
+        try {
+            desk.received(Packet.read(datagram.data().getBytes()));
+            settle();
+        } catch (BadSettings | IllegalArgumentException | UnsupportedOperationException e) {
+            unreadable++;
+            Logger.debug("agreement: a datagram is not read: {}", e.getMessage());
+        }
+    }
+
+    @Override
+    public Acting lapsed() {
+        return now() >= lapsesAt ? strict : null;
+    }
+
+    @Override
+    public String lines() {
+        long left = lapsesAt == Long.MAX_VALUE ? 0 : Math.max(0, lapsesAt - now());
+        return lines + "agreement.lease_left_ms:" + left + "|g\n";
+    }
+
+    private void event(JsonObject event) {
+        if (settings.events()) {
+            events.accept(event.add("at_ms", System.currentTimeMillis()).add("observer", name).toString());
+        }
+    }
+
+    private void publish() {
+        if (desk.leads() != led) {
+            led = desk.leads();
+            event(Json.object().add("event", "leads").add("leads", led));
+        }
+        Lease.Counts counts = desk.lease().counts();
+        StringBuilder text = new StringBuilder(256);
+        figure(text, "version", desk.lease().standing().version(), 'g');
+        figure(text, "behind", desk.lease().standing().mode() == Standing.Mode.FULL ? 0 : 1, 'g');
+        figure(text, "voter", desk.votes() ? 1 : 0, 'g');
+        figure(text, "leader", desk.leads() ? 1 : 0, 'g');
+        figure(text, "state_refused", stateRefused ? 1 : 0, 'c');
+        figure(text, "asked", counts.asked(), 'c');
+        figure(text, "confirmed", counts.confirmed(), 'c');
+        figure(text, "expired", counts.expired(), 'c');
+        figure(text, "adopted", counts.adopted(), 'c');
+        figure(text, "unreadable", unreadable, 'c');
+        lines = text.toString();
+    }
+
+    private static void figure(StringBuilder text, String figure, long value, char kind) {
+        text.append("agreement.").append(figure).append(':').append(value).append('|').append(kind).append('\n');
+    }
+
+    private final class Host implements VersionDesk.Host {
+        @Override
+        public long now() {
+            return VersionedState.now();
+        }
+
+        @Override
+        public void send(String address, Packet packet) {
+            byte[] bytes = packet.bytes();
+            if (bytes.length > Packet.MOST_BYTES) {
+                Logger.error("agreement: {} of {} bytes is not sent: too large for a datagram", packet.kind(), bytes.length);
+                return;
+            }
+            Endpoint to = Endpoint.read(address, "address");
+            socket.send(Buffer.buffer(bytes), to.port(), to.address())
+                    .onFailure(e -> Logger.debug("agreement: not sent to {}: {}", to, e.getMessage()));
+        }
+
+        @Override
+        public void later(long ms, Runnable task) {
+            if (ms <= 0) {
+                vertx.runOnContext(run -> task.run());
+            } else {
+                vertx.setTimer(ms, due -> task.run());
+            }
+        }
+
+        @Override
+        public void stands(Standing was, Standing is, String text) {
+            if (is.version() != was.version()) {
+                before = held;
+                held = Document.read(text).at(own);
+            }
+            Document least = held.strict(before == null ? held : before);
+            strict = new Acting(is.version(), least.settings(), least.nodes(), true);
+            act.accept(is.mode() == Standing.Mode.FULL
+                    ? new Acting(is.version(), held.settings(), held.nodes(), false) : strict);
+            Logger.info("agreement: version {} is acted on {}", is.version(), is.mode());
+            event(Json.object().add("event", "acting").add("version", is.version()).add("mode", is.mode().name())
+                    .add("ended_ms", System.currentTimeMillis() + Math.min(0, was.untilMs() - now())));
+        }
+    }
+}
--- /dev/null
+++ b/versions/src/main/java/opalcove/versions/VoterStore.java
@@ -0,0 +1,114 @@
+package opalcove.versions;
+
+import io.microraft.model.impl.DefaultRaftModelFactory;
+import io.microraft.model.log.LogEntry;
+import io.microraft.model.log.RaftGroupMembersView;
+import io.microraft.model.log.SnapshotChunk;
+import io.microraft.model.log.SnapshotEntry;
+import io.microraft.model.persistence.RaftEndpointPersistentState;
+import io.microraft.model.persistence.RaftTermPersistentState;
+import io.microraft.persistence.RaftStore;
+import io.microraft.persistence.RestoredRaftState;
+import java.io.IOException;
+import java.io.Serializable;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.TreeMap;
+
+/**
+ * What a voter must not forget: its vote, and the log since the last snapshot. It is small, a few versions, and so is written
+ * whole at each flush ({@link StateFile}).
+ */
+public final class VoterStore implements RaftStore {
+    /** All of it, as it lies in the file. */
+    private static final class State implements Serializable {
+        private static final long serialVersionUID = 1;
+        private RaftEndpointPersistentState endpoint;
+        private RaftGroupMembersView members;
+        private RaftTermPersistentState term;
+        private final TreeMap<Long, LogEntry> entries = new TreeMap<>();
+        private SnapshotChunk snapshot;
+    }
+
+    private final Path file;
+    private final State state;
+
+    private VoterStore(Path file, State state) {
+        this.file = file;
+        this.state = state;
+    }
+
+    /** The store in that file, new where there is none; one that is torn or foreign is refused with the reason. */
+    static VoterStore open(Path file) throws IOException {
+        return new VoterStore(file, Files.exists(file) ? Objects.read(StateFile.read(file), State.class) : new State());
+    }
+
+    /** What was kept, null where nothing was. */
+    RestoredRaftState restored() {
+        if (state.endpoint == null || state.members == null) {
+            return null;
+        }
+        DefaultRaftModelFactory factory = new DefaultRaftModelFactory();
+        SnapshotEntry snapshot = state.snapshot == null ? null : factory.createSnapshotEntryBuilder()
+                .setIndex(state.snapshot.getIndex()).setTerm(state.snapshot.getTerm())
+                .setSnapshotChunks(List.of(state.snapshot)).setGroupMembersView(state.snapshot.getGroupMembersView())
+                .build();
+        return new RestoredRaftState(state.endpoint, state.members, state.term, snapshot,
+                new ArrayList<>(state.entries.values()));
+    }
+
+    @Override
+    public void persistAndFlushLocalEndpoint(RaftEndpointPersistentState endpoint) throws IOException {
+        state.endpoint = endpoint;
+        flush();
+    }
+
+    @Override
+    public void persistAndFlushInitialGroupMembers(RaftGroupMembersView members) throws IOException {
+        state.members = members;
+        flush();
+    }
+
+    @Override
+    public void persistAndFlushTerm(RaftTermPersistentState term) throws IOException {
+        state.term = term;
+        flush();
+    }
+
+    @Override
+    public void persistLogEntries(List<LogEntry> entries) {
+        entries.forEach(entry -> state.entries.put(entry.getIndex(), entry));
+    }
+
+    @Override
+    public void persistSnapshotChunk(SnapshotChunk chunk) {
+        if (chunk.getSnapshotChunkCount() != 1) {
+            throw new IllegalStateException("a snapshot of versions is one chunk, not " + chunk.getSnapshotChunkCount());
+        }
+        state.snapshot = chunk;
+    }
+
+    @Override
+    public void truncateLogEntriesFrom(long index) {
+        state.entries.tailMap(index, true).clear();
+    }
+
+    @Override
+    public void truncateLogEntriesUntil(long index) {
+        state.entries.headMap(index, true).clear();
+    }
+
+    @Override
+    public void deleteSnapshotChunks(long index, int chunks) {
+        if (state.snapshot != null && state.snapshot.getIndex() == index) {
+            state.snapshot = null;
+        }
+    }
+
+    @Override
+    public void flush() throws IOException {
+        StateFile.write(file, Objects.write(state));
+    }
+}
--- /dev/null
+++ b/versions/src/test/java/opalcove/versions/VersionsTest.java
@@ -0,0 +1,102 @@
+package opalcove.versions;
+
+import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertNotNull;
+import static org.testng.Assert.assertNull;
+import static org.testng.Assert.assertTrue;
+import static org.testng.Assert.expectThrows;
+
+import io.microraft.model.impl.DefaultRaftModelFactory;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.Arrays;
+import java.util.List;
+import opalcove.Facts;
+import opalcove.agreement.Registry;
+import opalcove.gateway.AppNode;
+import opalcove.gateway.BadSettings;
+import opalcove.gateway.Fields;
+import org.testng.annotations.Test;
+
+/** A version's document and its strict rules, a voter's file, the section's checks. */
+public class VersionsTest {
+    private static final String NODES = """
+            [{"name":"n1","address":"127.0.0.1:1"},{"name":"n2","address":"127.0.0.1:2","status":"%s"}]""";
+
+    private static Document document(String settings, String secondNode) {
+        return Document.read("{\"settings\":" + settings + ",\"nodes\":" + NODES.formatted(secondNode) + "}");
+    }
+
+    @Test
+    public void strictKeepsTheLesserQuotaOneAttemptAndADrainOfEitherVersion() {
+        Document drained = document(Facts.JSON.replace("\"quota_rate\":50,\"peak_units\":100}]",
+                "\"quota_rate\":20,\"peak_units\":200}]"), "draining");
+        Document again = document(Facts.JSON, "up");
+        Document strict = again.strict(drained);
+        assertEquals(strict.settings().limits().maxAttempts(), 1);
+        assertEquals(strict.settings().plans().get(1).rate(), 20.0);
+        assertEquals(strict.settings().plans().get(1).burst(), 100.0);
+        assertEquals(strict.nodes().stream().map(AppNode::name).toList(), List.of("n1"));
+    }
+
+    @Test
+    public void aBrokenTextIsRefusedWithItsKeyAndReason() {
+        for (String[] each : new String[][] {{"", "JSON"}, {"{\"settings\":{}}", "profiles"},
+            {"{\"settings\":" + Facts.JSON + ",\"node\":[]}", "field node is not known"},
+            {"{\"settings\":" + Facts.JSON.replace("\"max_attempts\":6", "\"max_attempts\":0") + "}", "max_attempts"},
+            {"{\"settings\":" + Facts.JSON + ",\"nodes\":" + NODES.formatted("up").replace("n2", "n1") + "}", "n1 twice"}}) {
+            String told = expectThrows(BadSettings.class, () -> Document.read(each[0])).getMessage();
+            assertTrue(told.contains(each[1]), told);
+        }
+    }
+
+    @Test
+    public void aVotersFileIsReadBackWholeOrRefusedWithTheReason() throws Exception {
+        Path file = Files.createTempDirectory("vote").resolve("state");
+        VoterStore store = VoterStore.open(file);
+        assertNull(store.restored());
+        DefaultRaftModelFactory factory = new DefaultRaftModelFactory();
+        Registry.Proposal proposal = new Registry.Proposal("id", 0, "ops", "text");
+        store.persistLogEntries(List.of(factory.createLogEntryBuilder().setIndex(1).setTerm(1).setOperation(proposal)
+                .build()));
+        store.persistAndFlushTerm(factory.createRaftTermPersistentStateBuilder().setTerm(3).setVotedFor(null).build());
+        store.persistAndFlushInitialGroupMembers(factory.createRaftGroupMembersViewBuilder().setLogIndex(0)
+                .setMembers(List.of()).setVotingMembers(List.of()).build());
+        store.persistAndFlushLocalEndpoint(factory.createRaftEndpointPersistentStateBuilder().setVoting(true).build());
+        VoterStore back = VoterStore.open(file);
+        assertNotNull(back.restored());
+        assertEquals(back.restored().getTermPersistentState().getTerm(), 3);
+        assertEquals(back.restored().getLogEntries().get(0).getOperation(), proposal);
+        byte[] whole = Files.readAllBytes(file);
+        for (int cut = 0; cut < whole.length; cut++) {
+            Files.write(file, Arrays.copyOf(whole, cut));
+            String told = expectThrows(BadSettings.class, () -> VoterStore.open(file)).getMessage();
+            assertTrue(told.contains(file.toString()) && told.matches("(?s).*(empty|no state|torn).*"), told);
+        }
+        byte[] changed = whole.clone();
+        changed[whole.length - 3] ^= 1;
+        Files.write(file, changed);
+        assertTrue(expectThrows(BadSettings.class, () -> VoterStore.open(file)).getMessage().contains("torn"));
+    }
+
+    @Test
+    public void whatIsNoRecordOfThisProgramIsNotRead() {
+        assertTrue(expectThrows(BadSettings.class, () -> Objects.read(Objects.write(new java.io.File("x")),
+                java.io.Serializable.class)).getMessage().contains("REJECTED"));
+    }
+
+    @Test
+    public void theSectionIsCheckedWithItsKeys() {
+        String good = """
+                {"listen":"127.0.0.1:0","voters":[{"name":"g1","address":"127.0.0.1:1"}],"state_file":"/tmp/x"}""";
+        assertEquals(VersionSettings.read("g1", Fields.parse(good)).leaseMs(), 2000);
+        for (String[] each : new String[][] {{good.replace("/tmp/x", ""), "state_file"},
+            {good.replace("\"state_file\"", "\"lease_ms\":1,\"state_file\""), "lease_ms"},
+            {good.replace("\"state_file\"", "\"state\""), "agreement.state is not known"},
+            {good.replace("}]", "},{\"name\":\"g2\",\"address\":\"127.0.0.1:2\"}]"), "1, 3, 5"}}) {
+            String told = expectThrows(BadSettings.class, () -> VersionSettings.read("g1", Fields.parse(each[0])))
+                    .getMessage();
+            assertTrue(told.contains(each[1]), told);
+        }
+    }
+}
