--- a/cli/src/main/java/opalcove/cli/Opalcove.java
+++ b/cli/src/main/java/opalcove/cli/Opalcove.java
@@ -22,7 +22,7 @@
 @Command(name = "opalcove", mixinStandardHelpOptions = true, versionProvider = Opalcove.Version.class,
         description = "Gateway of battery swap operators: which ask goes to which app node, when, and which is refused.",
         subcommands = {Opalcove.ServeCommand.class, Opalcove.MqttCommand.class, ControlCommand.class, PlanCommand.class, ApplyCommand.class, LoadCommand.class,
-            MembersCommand.class, StateCommand.class, MembershipTrialCommand.class, AgreementTrialCommand.class, RigCommand.class,
+            MembersCommand.class, StateCommand.class, RecoveryCommand.class, MembershipTrialCommand.class, AgreementTrialCommand.class, RigCommand.class,
             MeterCommand.class, GuardCommand.class, PairCommand.class,
             Opalcove.AdapterCommand.class}, exitCodeListHeading = "%nExit codes:%n",
         exitCodeList = {"0:done", "1:the command failed; standard error says why", "2:wrong call"})
--- a/cli/src/test/java/opalcove/cli/LayersTest.java
+++ b/cli/src/test/java/opalcove/cli/LayersTest.java
@@ -23,6 +23,7 @@
                 .layer("decision").definedBy("opalcove.decision..")
                 .layer("membership").definedBy("opalcove.membership..")
                 .layer("agreement").definedBy("opalcove.agreement..")
+                .layer("recovery").definedBy("opalcove.recovery..")
                 .layer("versions").definedBy("opalcove.versions..")
                 .layer("cluster").definedBy("opalcove.cluster..")
                 .layer("loop").definedBy("opalcove.loop..")
@@ -32,8 +33,9 @@
                 .layer("control").definedBy("opalcove.control..")
                 .layer("laboratory").definedBy("opalcove.laboratory..")
                 .layer("programs").definedBy("opalcove", "opalcove.cli..")
-                .whereLayer("membership").mayOnlyBeAccessedByLayers("cluster", "laboratory")
+                .whereLayer("membership").mayOnlyBeAccessedByLayers("cluster", "versions", "platform", "laboratory")
                 .whereLayer("agreement").mayOnlyBeAccessedByLayers("versions", "laboratory", "programs")
+                .whereLayer("recovery").mayOnlyBeAccessedByLayers("versions", "laboratory", "programs")
                 .whereLayer("versions").mayOnlyBeAccessedByLayers("laboratory", "programs")
                 .whereLayer("cluster").mayOnlyBeAccessedByLayers("versions", "platform", "laboratory")
                 .whereLayer("loop").mayOnlyBeAccessedByLayers("core", "laboratory")
@@ -52,7 +54,7 @@
     @Test
     public void theDecisionsDoNothingButDecide() {
         for (String each : new String[] {"opalcove.decision..", "opalcove.membership..",
-            "opalcove.agreement.."}) {
+            "opalcove.agreement..", "opalcove.recovery.."}) {
             noClasses().that().resideInAPackage(each).should().dependOnClassesThat(
                     resideOutsideOfPackages(each, "java.lang..", "java.util..")
                             .and(not(equivalentTo(Serializable.class)))).check(PRODUCT);
--- a/decision/src/main/java/opalcove/decision/Admission.java
+++ b/decision/src/main/java/opalcove/decision/Admission.java
@@ -75,7 +75,12 @@
                     Reports reports, List<Gauge> gauges) { }
 
     /** A line of the host list; startedMs is 0 where the start is long ago. */
-    record Host(String id, String zone, String kind, int cell, State state, double size, double startedMs) { }
+    record Host(String id, String zone, String kind, int cell, State state, double size, double startedMs) {
+        /** The same host, started at that time at the earliest. */
+        public Host startedSince(double ms) {
+            return new Host(id, zone, kind, cell, state, size, Math.max(startedMs, ms));
+        }
+    }
 
     /** A client's request: budgetMs is its time to answer, gateways the number through which its customer may come. */
     record Request(String id, String requestClass, String plan, String customer, double units, double budgetMs,
--- a/gateway/src/main/java/opalcove/cluster/Membership.java
+++ b/gateway/src/main/java/opalcove/cluster/Membership.java
@@ -8,6 +8,7 @@
 import io.vertx.core.datagram.DatagramPacket;
 import io.vertx.core.datagram.DatagramSocket;
 import io.vertx.core.datagram.DatagramSocketOptions;
+import java.util.List;
 import java.util.Locale;
 import java.util.SplittableRandom;
 import java.util.concurrent.TimeUnit;
@@ -38,11 +39,14 @@
     private long sent;
     private long received;
     private long unreadable;
+    private final List<Member> known;
+    private volatile List<Member> fleet = List.of();
     private volatile String lines = "";
     private volatile String members = "";
 
-    /** A member of that name; the events, where the settings want them, go to the consumer, a JSON object each. */
-    public Membership(Vertx own, String name, MembershipSettings settings, Consumer<String> events) {
+    /** A member of that name, which knows some others from before; the events, where the settings want them, go to the consumer, a JSON object each. */
+    public Membership(Vertx own, String name, MembershipSettings settings, List<Member> known, Consumer<String> events) {
+        this.known = known;
         vertx = own;
         this.name = name;
         this.settings = settings;
@@ -59,6 +63,7 @@
             // The time of the start as first incarnation: higher than that of any earlier process of this name.
             swim = new Swim(now(), name, address, System.currentTimeMillis(), settings.seeds(), settings.figures(),
                     new SplittableRandom(), new Host());
+            swim.know(known);
             open.handler(this::received);
             open.exceptionHandler(e -> Logger.debug("membership: {}", e.getMessage()));
             Logger.info("membership: {} at {}, seeds {}", name, address, settings.seeds());
@@ -137,6 +142,7 @@
         line(list, swim.self());
         swim.others().forEach(each -> line(list, each));
         members = list.toString();
+        fleet = List.copyOf(swim.fleet());
     }
 
     private static void figure(StringBuilder text, String figure, long value, char kind) {
@@ -153,6 +159,11 @@
         return lines;
     }
 
+    /** The members held for present, this one among them. */
+    public List<Member> fleet() {
+        return fleet;
+    }
+
     /** What is known of each member, this one first: name, address, incarnation and state, a line each. */
     public String members() {
         return members;
--- a/gateway/src/main/java/opalcove/platform/Serve.java
+++ b/gateway/src/main/java/opalcove/platform/Serve.java
@@ -8,6 +8,7 @@
 import java.util.ServiceLoader;
 import java.util.SplittableRandom;
 import java.util.concurrent.TimeUnit;
+import java.util.function.Supplier;
 import opalcove.cluster.AgreedState;
 import opalcove.cluster.Membership;
 import opalcove.gateway.AppNode;
@@ -18,6 +19,7 @@
 import opalcove.gateway.LinkPool;
 import opalcove.gateway.Phases;
 import opalcove.gateway.Program;
+import opalcove.membership.Member;
 import org.tinylog.Logger;
 
 /** The platform's gateway: RESP2 on both sides, the node list from discovery. */
@@ -25,7 +27,7 @@
     /** How long to wait for discovery's first answer before the list known from before, if any, must do, ms. */
     private static final long FIRST_LIST_MS = 1000;
     /** How long to wait for a voter's word on the version in force, ms. */
-    private static final long FIRST_VERSION_MS = 10_000;
+    private static final long FIRST_VERSION_MS = 12_000;
 
     private Serve() {
     }
@@ -44,10 +46,10 @@
                 Runtime.getRuntime().halt(1);
             });
         }
-        Membership membership = join(config);
-        door.membership = membership;
         AgreedState agreed = agree(config);
         door.agreed = agreed;
+        Membership membership = join(config, agreed == null ? List.of() : agreed.known());
+        door.membership = membership;
         Logger.info("rehearsed {} asks", Rehearsal.play(Program::eventLoop, config.settings(),
                 Budget.ofMs(config.rehearsalMs())));
         Program program = new Program();
@@ -67,6 +69,13 @@
                     }
                 });
             }
+            if (agreed != null) {
+                program.phases().watch(phase -> {
+                    if (phase == Phases.Phase.LEAVING) {
+                        agreed.leave();
+                    }
+                });
+            }
             door.serve(vertx, gateway, front, program.phases());
             if (!config.known().isEmpty()) {
                 // An empty list would make every node of discovery's first one look newly started, and cold.
@@ -78,18 +87,19 @@
             boolean knownWillDo = config.settings().duties().listOnRequest() && !config.known().isEmpty();
             Future<Void> listed = knownWillDo ? discovery.startFrom(config.knownIndex()) : discovery.start();
             Future<?> first = knownWillDo ? Future.succeededFuture() : listed.timeout(FIRST_LIST_MS, TimeUnit.MILLISECONDS);
-            (agreed == null ? first : first.eventually(() -> versions.follow(vertx, agreed)))
+            (agreed == null ? first : first.eventually(() -> versions.follow(vertx, agreed,
+                    membership == null ? List::of : membership::fleet)))
                     .onComplete(ready -> program.open(front.listen(config.listen())));
         });
     }
 
     /** Joins the other gateways where the settings have it; a member that cannot listen ends the start with 1. */
-    private static Membership join(Config config) {
+    private static Membership join(Config config, List<Member> known) {
         if (config.membership() == null) {
             return null;
         }
         Membership membership = new Membership(Program.eventLoop(), config.name(), config.membership(),
-                System.out::println);
+                known, System.out::println);
         membership.start().onFailure(e -> {
             Logger.error("cannot listen at membership.listen {}: {}", config.membership().listen(), e.getMessage());
             Runtime.getRuntime().halt(1);
@@ -117,7 +127,7 @@
         }
 
         /** Acts on what is agreed from now on; done once that is known, or after so long that clients are taken without. */
-        Future<Void> follow(Vertx vertx, AgreedState agreed) {
+        Future<Void> follow(Vertx vertx, AgreedState agreed, Supplier<List<Member>> fleet) {
             gateway.beforeEachAsk(() -> {
                 AgreedState.Acting lapsed = agreed.lapsed();
                 if (lapsed != null && acting != null && !acting.strict()) {
@@ -125,7 +135,7 @@
                 }
             });
             Promise<Void> known = Promise.promise();
-            agreed.start(next -> vertx.runOnContext(told -> act(next))).onFailure(e -> {
+            agreed.start(next -> vertx.runOnContext(told -> act(next)), fleet).onFailure(e -> {
                 Logger.error("cannot listen at agreement.listen: {}", e.getMessage());
                 Runtime.getRuntime().halt(1);
             }).onSuccess(heard -> vertx.runOnContext(told -> known.tryComplete()));
@@ -138,17 +148,29 @@
         }
 
         private void act(AgreedState.Acting next) {
+            boolean colder = next.coldSinceMs() > 0 && (acting == null || acting.coldSinceMs() != next.coldSinceMs());
             acting = next;
             gateway.retune(next.settings());
             if (next.nodes() != null) {
-                gateway.nodesTold(true, next.nodes());
+                gateway.nodesTold(true, cold(next.nodes()));
+            } else if (colder) {
+                gateway.nodesTold(true, cold(gateway.nodes()));
+            }
+        }
+
+        /** After a power loss the list may be of before: no node counts as started earlier than this gateway. */
+        private List<AppNode> cold(List<AppNode> nodes) {
+            if (acting == null || acting.coldSinceMs() == 0) {
+                return nodes;
             }
+            return nodes.stream().map(node -> new AppNode(node.host().startedSince(acting.coldSinceMs()), node.address()))
+                    .toList();
         }
 
         /** Discovery's word holds where no agreed version has the list. */
         void discovered(boolean whole, List<AppNode> lines) {
             if (acting == null || acting.nodes() == null) {
-                gateway.nodesTold(whole, lines);
+                gateway.nodesTold(whole, cold(lines));
             }
         }
 
--- a/laboratory/src/main/java/opalcove/laboratory/ClusterRig.java
+++ b/laboratory/src/main/java/opalcove/laboratory/ClusterRig.java
@@ -86,6 +86,7 @@
             }
             file.add("agreement", Json.object().add("listen", "127.0.0.1:0").add("advertise", versionProxy.door(name))
                     .add("voters", known).add("lease_ms", leaseMs).add("state_file", state(name).toString())
+                    .add("snapshot_file", snapshot(name).toString())
                     .add("events", true));
         }
         Files.writeString(config, file.toString());
@@ -107,6 +108,22 @@
         return folder.resolve(name + ".state");
     }
 
+    /** Where a member keeps what it knows over a power loss. */
+    public Path snapshot(String name) {
+        return folder.resolve(name + ".snapshot");
+    }
+
+    /** What a member last told of its way back, such as {@code FULL}; empty where it told nothing. */
+    public synchronized String recovery(String name) {
+        String phase = "";
+        for (JsonObject each : versionEvents) {
+            if (each.getString("observer", "").equals(name) && each.getString("event", "").equals("recovery")) {
+                phase = each.getString("phase", "");
+            }
+        }
+        return phase;
+    }
+
     /** Asks the voters as an operator's command does, past all faults between members; this one first. */
     public VersionClient operator(String first) throws IOException {
         List<Endpoint> doors = new ArrayList<>();
--- /dev/null
+++ b/laboratory/src/test/java/opalcove/laboratory/RecoveryRigTest.java
@@ -0,0 +1,99 @@
+package opalcove.laboratory;
+
+import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertTrue;
+
+import com.eclipsesource.json.Json;
+import com.eclipsesource.json.JsonObject;
+import java.io.IOException;
+import java.nio.file.Files;
+import java.util.Arrays;
+import java.util.List;
+import java.util.concurrent.CompletableFuture;
+import opalcove.agreement.Registry;
+import org.testng.annotations.Test;
+
+/** The whole fleet loses its power and comes back, by real processes that are all killed at once. */
+public class RecoveryRigTest {
+    private static final List<String> ALL = List.of("g1", "g2", "g3", "g4", "g5");
+    private static final long MOST_MS = 60_000;
+    private static final int LEASE_MS = 1500;
+    private static final long ROUNDING_MS = 5;
+
+    private static String document(int attempts) {
+        JsonObject settings = Json.parse(Laboratory.settingsText()).asObject();
+        settings.get("ceilings").asObject().set("max_attempts", attempts);
+        return Json.object().add("settings", settings).toString();
+    }
+
+    private static void powerLoss(ClusterRig rig) throws InterruptedException {
+        for (String name : ALL) {
+            rig.kill(name);
+        }
+    }
+
+    private static void start(ClusterRig rig, List<String> names) throws IOException {
+        for (String name : names) {
+            rig.start(name);
+        }
+    }
+
+    private static List<JsonObject> recoveries(ClusterRig rig, String name, int from) {
+        List<JsonObject> all = rig.versionEvents();
+        return all.subList(Math.min(from, all.size()), all.size()).stream()
+                .filter(each -> each.getString("event", "").equals("recovery")
+                        && each.getString("observer", "").equals(name)).toList();
+    }
+
+    private static boolean told(ClusterRig rig, String name, int from, String phase) {
+        return recoveries(rig, name, from).stream().anyMatch(each -> each.getString("phase", "").equals(phase));
+    }
+
+    @Test
+    public void theFleetComesBackOnOneVersionWithWhatItMayTrust() throws Exception {
+        try (ClusterRig rig = new ClusterRig(21, 500, List.of("g1", "g2"), List.of("g1", "g2", "g3"), LEASE_MS)) {
+            start(rig, ALL);
+            assertEquals(rig.operator("g1").propose(0, "ops", document(6)), new Registry.Outcome(true, 1, ""));
+            assertTrue(rig.await(r -> ALL.stream().allMatch(name -> r.actsOn(name).equals("1 FULL")
+                    && r.versionEvents().stream().anyMatch(each -> each.getString("event", "").equals("snapshot")
+                            && each.getString("observer", "").equals(name))), MOST_MS), rig.versionEvents().toString());
+
+            // The power goes while a change is half agreed; one snapshot is torn by it, one is missing.
+            CompletableFuture<Registry.Outcome> half = CompletableFuture.supplyAsync(() -> {
+                try {
+                    return rig.operator("g2").propose(1, "ops", document(3));
+                } catch (IOException e) {
+                    throw new java.io.UncheckedIOException(e);
+                }
+            });
+            powerLoss(rig);
+            byte[] whole = Files.readAllBytes(rig.snapshot("g4"));
+            Files.write(rig.snapshot("g4"), Arrays.copyOf(whole, whole.length - 7));
+            Files.delete(rig.snapshot("g5"));
+            int first = rig.versionEvents().size();
+            start(rig, ALL);
+            assertTrue(rig.await(r -> ALL.stream().allMatch(name -> told(r, name, first, "RESTORING")), MOST_MS),
+                    rig.versionEvents().toString());
+
+            // It goes once more before they are back; then they come in another order, one of them later.
+            powerLoss(rig);
+            int second = rig.versionEvents().size();
+            start(rig, List.of("g5", "g3", "g4", "g1"));
+            assertTrue(rig.await(r -> !recoveries(r, "g4", second).isEmpty(), MOST_MS));
+            start(rig, List.of("g2"));
+            assertTrue(half.get().taken(), "the proposal was repeated until it was decided");
+            assertTrue(rig.await(r -> ALL.stream().allMatch(name -> told(r, name, second, "FULL")
+                    && r.actsOn(name).equals("2 FULL")), MOST_MS), rig.versionEvents().toString());
+
+            for (String name : ALL) {
+                List<JsonObject> phases = recoveries(rig, name, second);
+                assertEquals(phases.stream().map(each -> each.getString("phase", "")).toList(),
+                        List.of("WAITING", "RESTORING", "FULL"), name);
+                assertTrue(phases.get(1).getBoolean("cold", false), "every node counts as cold");
+            }
+            assertTrue(recoveries(rig, "g4", first).get(0).get("refused").toString().contains("torn"));
+            assertTrue(recoveries(rig, "g5", first).get(0).get("refused").toString().contains("there is none"));
+            assertEquals(rig.contradictions(LEASE_MS + ROUNDING_MS), List.of());
+        }
+    }
+}
--- a/versions/src/main/java/opalcove/versions/Document.java
+++ b/versions/src/main/java/opalcove/versions/Document.java
@@ -58,10 +58,7 @@
                 l.maxRetryAfterMs(), l.idleCloseMs(), l.counter(), l.dialTimeoutMs(), l.maxOpen(), l.mostUnits());
         Set<String> closed = before.nodes == null ? Set.of() : before.nodes.stream()
                 .filter(node -> node.host().state() != Admission.State.UP).map(AppNode::name).collect(Collectors.toSet());
-        return new Document(new Admission.Settings(settings.self(), settings.gateways(), settings.zone(),
-                settings.tickMs(), settings.meterPeriodMs(), settings.unitsAreGuesses(), settings.classes(), plans, limits,
-                settings.duties(), settings.prices(), settings.reports(), settings.gauges()),
-                nodes == null ? null : nodes.stream().filter(node -> !closed.contains(node.name())).toList());
+        return new Document(with(plans, limits), nodes == null ? null : nodes.stream().filter(node -> !closed.contains(node.name())).toList());
     }
 
     private static Admission.Plan lesser(Admission.Plan a, Admission.Plan b) {
@@ -70,6 +67,21 @@
                 least(a.ceilingRate(), b.ceilingRate()), least(a.ceilingBurst(), b.ceilingBurst()), a.ceilingSlack());
     }
 
+    /** The same with each plan's burst cut to one gateway's part of it. */
+    Document held() {
+        int gateways = Math.max(1, settings.gateways());
+        List<Admission.Plan> plans = settings.plans().stream().map(p -> new Admission.Plan(p.name(), p.rate(),
+                p.burst() / gateways, p.openCap(), p.price(), p.beyondWorth(), p.beyondCost(), p.ceilingRate(),
+                p.ceilingBurst() / gateways, p.ceilingSlack())).toList();
+        return new Document(with(plans, settings.limits()), nodes);
+    }
+
+    private Admission.Settings with(List<Admission.Plan> plans, Admission.Limits limits) {
+        return new Admission.Settings(settings.self(), settings.gateways(), settings.zone(), settings.tickMs(),
+                settings.meterPeriodMs(), settings.unitsAreGuesses(), settings.classes(), plans, limits,
+                settings.duties(), settings.prices(), settings.reports(), settings.gauges());
+    }
+
     /** 0 is no limit. */
     private static double least(double a, double b) {
         return a <= 0 || b <= 0 ? Math.max(a, b) : Math.min(a, b);
--- a/versions/src/main/java/opalcove/versions/VersionSettings.java
+++ b/versions/src/main/java/opalcove/versions/VersionSettings.java
@@ -10,11 +10,13 @@
 
 /**
  * The section {@code agreement}: where this gateway listens for datagrams, the address that it tells the others, the voters by
- * name, how long a confirmed version may be acted on, where a voter keeps its vote, and whether changes are told as events.
+ * name, how long a confirmed version may be acted on, where a voter keeps its vote, where what is known is kept over a power loss (null: nowhere, and there is no recovery), and
+ * whether changes are told as events.
  */
 record VersionSettings(Endpoint listen, String advertise, Map<String, String> voters, int leaseMs, Path stateFile,
-                       boolean events) {
-    private static final Set<String> KEYS = Set.of("listen", "advertise", "voters", "lease_ms", "state_file", "events");
+                       Path snapshotFile, boolean events) {
+    private static final Set<String> KEYS = Set.of("listen", "advertise", "voters", "lease_ms", "state_file",
+            "snapshot_file", "events");
 
     /** Reads the section for the gateway of that name; what is wrong is told with its key. */
     static VersionSettings read(String name, Fields f) {
@@ -41,11 +43,12 @@
         if (voters.containsKey(name) && file.isEmpty()) {
             throw new BadSettings("field agreement.state_file must name a file: a voter must not forget its vote");
         }
+        String snapshot = f.textOr("snapshot_file", "");
         String advertise = f.textOr("advertise", "");
         if (!advertise.isEmpty()) {
             Endpoint.read(advertise, "agreement.advertise");
         }
         return new VersionSettings(Endpoint.read(f.text("listen"), "agreement.listen"), advertise, voters, leaseMs,
-                file.isEmpty() ? null : Path.of(file), f.flag("events"));
+                file.isEmpty() ? null : Path.of(file), snapshot.isEmpty() ? null : Path.of(snapshot), f.flag("events"));
     }
 }
--- a/versions/src/main/java/opalcove/versions/VersionedState.java
+++ b/versions/src/main/java/opalcove/versions/VersionedState.java
@@ -1,6 +1,7 @@
 package opalcove.versions;
 
 import com.eclipsesource.json.Json;
+import com.eclipsesource.json.JsonArray;
 import com.eclipsesource.json.JsonObject;
 import io.vertx.core.Future;
 import io.vertx.core.Promise;
@@ -11,8 +12,12 @@
 import io.vertx.core.datagram.DatagramSocketOptions;
 import java.io.IOException;
 import java.security.SecureRandom;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
+import java.util.function.Supplier;
 import opalcove.agreement.Lease;
 import opalcove.agreement.Standing;
 import opalcove.cluster.AgreedState;
@@ -20,6 +25,9 @@
 import opalcove.gateway.BadSettings;
 import opalcove.gateway.Endpoint;
 import opalcove.gateway.Fields;
+import opalcove.membership.Member;
+import opalcove.recovery.Recovery;
+import opalcove.recovery.Snapshot;
 import org.tinylog.Logger;
 
 /**
@@ -37,6 +45,9 @@
     }
 
     private static final int BUFFER = 1 << 20;
+    /** How often what is known is written, and how often the way back is looked at, ms. */
+    private static final long SNAPSHOT_MS = 2000;
+    private static final long PLAN_MS = 100;
 
     private final Vertx vertx;
     private final String name;
@@ -46,13 +57,21 @@
     private final DatagramSocket socket;
     private final Promise<Void> heard = Promise.promise();
     private Consumer<Acting> act;
+    private Supplier<List<Member>> fleet;
     private VersionDesk desk;
+    private final long startedMs = System.currentTimeMillis();
+    private final Snapshot snapshot;
+    /** The way back after a start; null where nothing is kept. */
+    private final Recovery recovery;
+    private Recovery.Plan plan;
     private Document held;
     private Document before;
     private long timer = -1;
     private long unreadable;
     private boolean stateRefused;
     private boolean led;
+    /** Whether this process has written a snapshot. */
+    private boolean kept;
     /** What others read: what to act on once the lease has lapsed, and when that is (Long.MAX_VALUE: it cannot). */
     private volatile Acting strict;
     private volatile long lapsesAt = Long.MAX_VALUE;
@@ -65,6 +84,19 @@
         this.settings = settings;
         this.own = ownSettings;
         this.events = events;
+        Snapshot found = null;
+        String whyNone = "";
+        if (settings.snapshotFile() != null) {
+            try {
+                found = SnapshotFile.read(settings.snapshotFile(), name);
+            } catch (IOException | BadSettings e) {
+                whyNone = e.getMessage();
+                Logger.warn("recovery: the snapshot is refused: {}", whyNone);
+            }
+        }
+        snapshot = found;
+        recovery = settings.snapshotFile() == null ? null : new Recovery(startedMs, found, whyNone,
+                Recovery.Figures.of((long) ownSettings.meterPeriodMs()));
         socket = own.createDatagramSocket(new DatagramSocketOptions().setReceiveBufferSize(BUFFER)
                 .setSendBufferSize(BUFFER));
     }
@@ -74,8 +106,15 @@
     }
 
     @Override
-    public Future<Void> start(Consumer<Acting> acting) {
+    public List<Member> known() {
+        return snapshot == null ? List.of() : snapshot.members().stream()
+                .map(each -> new Member(each.name(), each.address(), each.incarnation(), Member.State.ALIVE)).toList();
+    }
+
+    @Override
+    public Future<Void> start(Consumer<Acting> acting, Supplier<List<Member>> members) {
         act = acting;
+        fleet = members;
         return socket.listen(settings.listen().port(), settings.listen().address()).compose(open -> {
             String address = settings.advertise().isEmpty()
                     ? settings.listen().address() + ":" + open.localAddress().port() : settings.advertise();
@@ -88,10 +127,85 @@
             Logger.info("agreement: {} at {}, voters {}{}", name, address, settings.voters().keySet(),
                     desk.votes() ? ", one of them" : "");
             tick();
+            if (recovery != null) {
+                vertx.setPeriodic(SNAPSHOT_MS, due -> snapshot(false));
+                vertx.setPeriodic(PLAN_MS, due -> {
+                    replan();
+                    publish();
+                });
+            }
             return heard.future();
         });
     }
 
+    /** Looks at the way back again, and acts on what has changed. */
+    private void replan() {
+        Map<String, Long> there = new HashMap<>();
+        fleet.get().stream().filter(each -> !each.name().equals(name))
+                .forEach(each -> there.put(each.name(), each.incarnation()));
+        Recovery.Plan before = plan;
+        plan = recovery.plan(System.currentTimeMillis(), desk.lease().heard() ? desk.lease().standing().version() : -1,
+                there);
+        if (before != null && before.phase() == plan.phase()) {
+            return;
+        }
+        Logger.info("recovery: {}; trusted {}, refused {}, asked {}", plan.phase(), plan.trusted(), plan.refused(),
+                plan.asked());
+        JsonArray refused = new JsonArray();
+        plan.refused().forEach(refused::add);
+        event(Json.object().add("event", "recovery").add("phase", plan.phase().name()).add("refused", refused)
+                .add("cold", plan.nodesCold()));
+        if (plan.ready()) {
+            act();
+            heard.tryComplete();
+        }
+    }
+
+    /** Writes what is known now, off this loop. */
+    private Future<Void> snapshot(boolean clean) {
+        if (recovery == null || plan == null || !plan.ready()) {
+            // Until then the old snapshot knows more than this process.
+            return Future.succeededFuture();
+        }
+        Snapshot now = new Snapshot(name, System.currentTimeMillis(), startedMs, clean, desk.lease().standing().version(),
+                desk.lease().text(), fleet.get().stream().filter(each -> !each.name().equals(name))
+                        .map(each -> new Snapshot.Peer(each.name(), each.address(), each.incarnation())).toList());
+        return vertx.<Void>executeBlocking(() -> {
+            SnapshotFile.write(settings.snapshotFile(), now);
+            return null;
+        }).onSuccess(written -> {
+            if (!kept) {
+                kept = true;
+                event(Json.object().add("event", "snapshot"));
+            }
+        }).onFailure(e -> Logger.warn("recovery: the snapshot is not written: {}", e.toString()));
+    }
+
+    @Override
+    public void leave() {
+        vertx.runOnContext(told -> snapshot(true));
+    }
+
+    /** Has the gateway act on what holds now. */
+    private void act() {
+        Standing standing = desk.lease().standing();
+        long coldSince = plan != null && plan.nodesCold() ? startedMs : 0;
+        Document base = held != null ? held : new Document(own, null);
+        boolean isStrict = standing.version() > 0 && standing.mode() != Standing.Mode.FULL;
+        if (standing.version() == 0 && plan != null && plan.fromSnapshot()) {
+            base = Document.read(snapshot.text()).at(own);
+            isStrict = true;
+        }
+        Document least = base.strict(before == null ? base : before);
+        boolean holds = plan != null && plan.quotasHeld();
+        strict = acting(standing.version(), holds ? least.held() : least, true, coldSince);
+        act.accept(isStrict ? strict : acting(standing.version(), holds ? base.held() : base, false, coldSince));
+    }
+
+    private static Acting acting(long version, Document document, boolean strict, long coldSince) {
+        return new Acting(version, document.settings(), document.nodes(), strict, coldSince);
+    }
+
     /** Where this gateway's vote is kept; null where it does not vote, or must not, since its state is refused. */
     private VoterStore store() {
         if (!settings.voters().containsKey(name)) {
@@ -115,7 +229,9 @@
 
     /** Publishes what others read, and sets the timer to when there is work. */
     private void settle() {
-        if (desk.lease().heard()) {
+        if (recovery != null) {
+            replan();
+        } else if (desk.lease().heard()) {
             heard.tryComplete();
         }
         Standing standing = desk.lease().standing();
@@ -174,6 +290,12 @@
         figure(text, "expired", counts.expired(), 'c');
         figure(text, "adopted", counts.adopted(), 'c');
         figure(text, "unreadable", unreadable, 'c');
+        if (plan != null) {
+            text.append("recovery.phase:").append(plan.phase().ordinal()).append("|g\nrecovery.snapshot_age_ms:")
+                    .append(snapshot == null ? -1 : Math.max(0, startedMs - snapshot.writtenMs()))
+                    .append("|g\nrecovery.trusted:").append(plan.trusted().size())
+                    .append("|g\nrecovery.refused:").append(plan.refused().size()).append("|g\n");
+        }
         lines = text.toString();
     }
 
@@ -214,10 +336,7 @@
                 before = held;
                 held = Document.read(text).at(own);
             }
-            Document least = held.strict(before == null ? held : before);
-            strict = new Acting(is.version(), least.settings(), least.nodes(), true);
-            act.accept(is.mode() == Standing.Mode.FULL
-                    ? new Acting(is.version(), held.settings(), held.nodes(), false) : strict);
+            act();
             Logger.info("agreement: version {} is acted on {}", is.version(), is.mode());
             event(Json.object().add("event", "acting").add("version", is.version()).add("mode", is.mode().name())
                     .add("ended_ms", System.currentTimeMillis() + Math.min(0, was.untilMs() - now())));
--- a/versions/src/test/java/opalcove/versions/VersionsTest.java
+++ b/versions/src/test/java/opalcove/versions/VersionsTest.java
@@ -16,6 +16,7 @@
 import opalcove.gateway.AppNode;
 import opalcove.gateway.BadSettings;
 import opalcove.gateway.Fields;
+import opalcove.recovery.Snapshot;
 import org.testng.annotations.Test;
 
 /** A version's document and its strict rules, a voter's file, the section's checks. */
@@ -79,6 +80,32 @@
         assertTrue(expectThrows(BadSettings.class, () -> VoterStore.open(file)).getMessage().contains("torn"));
     }
 
+    @Test
+    public void aSnapshotIsReadBackWholeOrRefusedWithTheReason() throws Exception {
+        Path file = Files.createTempDirectory("snapshot").resolve("g1");
+        assertTrue(expectThrows(BadSettings.class, () -> SnapshotFile.read(file, "g1")).getMessage().contains("there is none"));
+        Snapshot snapshot = new Snapshot("g1", 5, 4, true, 3, "{\"settings\":{}}", List.of(new Snapshot.Peer("g2", "a:1", 9)));
+        SnapshotFile.write(file, snapshot);
+        assertEquals(SnapshotFile.read(file, "g1"), snapshot);
+        assertTrue(expectThrows(BadSettings.class, () -> SnapshotFile.read(file, "g2")).getMessage().contains("is of g1"));
+        byte[] whole = Files.readAllBytes(file);
+        for (int cut = 0; cut < whole.length; cut++) {
+            Files.write(file, Arrays.copyOf(whole, cut));
+            String told = expectThrows(BadSettings.class, () -> SnapshotFile.read(file, "g1")).getMessage();
+            assertTrue(told.matches("(?s).*(empty|no state|torn).*"), told);
+        }
+        StateFile.write(file, "{\"snapshot\":2}".getBytes(java.nio.charset.StandardCharsets.UTF_8));
+        assertTrue(expectThrows(BadSettings.class, () -> SnapshotFile.read(file, "g1")).getMessage()
+                .contains("its form is 2, not 1"));
+    }
+
+    @Test
+    public void heldCutsEachBurstToOneGatewaysPart() {
+        Document held = document(Facts.JSON.replace("\"balancers\":1", "\"balancers\":4"), "up").held();
+        assertEquals(held.settings().plans().get(0).burst(), 25.0);
+        assertEquals(held.settings().plans().get(0).rate(), 50.0);
+    }
+
     @Test
     public void whatIsNoRecordOfThisProgramIsNotRead() {
         assertTrue(expectThrows(BadSettings.class, () -> Objects.read(Objects.write(new java.io.File("x")),
