Send nothing to an agreed list's nodes in the first quarter lease after a lapse

Hard case: a node is drained in version n and open again in n+1 while a gateway stands still: it never hears of n, and on waking sent to the node by the version before, strictly, until told (some ms). Change: a lapsed lease first closes all nodes of an agreed list for a quarter of a lease, in which a gateway that stood still is told; one that stays cut off then goes on strictly, as the design says it must. Ruled out: refusing all work while strict (a cut between gateways would be a loss of service).

--- a/laboratory/src/test/java/opalcove/laboratory/AgreementRigTest.java
+++ b/laboratory/src/test/java/opalcove/laboratory/AgreementRigTest.java
@@ -25,6 +25,8 @@
     private static final long MOST_MS = 60_000;
     private static final int LEASE_MS = 1500;
     private static final long ROUNDING_MS = 5;
+    /** The document of so many attempts drains its node. */
+    private static final int DRAINS = 3;
 
     private static ClusterRig fleet(long seed) throws Exception {
         ClusterRig rig = new ClusterRig(seed, 500, List.of("g1", "g2"), VOTERS, LEASE_MS);
@@ -39,7 +41,10 @@
     private static String document(int attempts) {
         JsonObject settings = Json.parse(Laboratory.settingsText()).asObject();
         settings.get("ceilings").asObject().set("max_attempts", attempts);
-        return Json.object().add("settings", settings).toString();
+        // The node is drained in one version and open again in the next.
+        JsonObject node = Json.object().add("name", "n1").add("address", "127.0.0.1:1").add("status",
+                attempts == DRAINS ? "draining" : "up");
+        return Json.object().add("settings", settings).add("nodes", Json.array().asArray().add(node)).toString();
     }
 
     private static void awaitAll(ClusterRig rig, List<String> names, String acting) throws InterruptedException {
@@ -98,8 +103,11 @@
             Thread.sleep(LEASE_MS);   // the pause is to be longer than the lease; nothing is judged by it
             rig.resume("g5");
             awaitAll(rig, ALL, "3 FULL");
-            assertEquals(rig.versionEvents().stream().filter(each -> each.getString("observer", "").equals("g5")
-                    && each.getString("mode", "").equals("STRICT")).count(), 1, "it was strict first");
+            // Behind, it never hears of the version that drains the node: it sends nothing to any node until it is told more.
+            List<JsonObject> lapsed = rig.versionEvents().stream().filter(each -> each.getString("observer", "")
+                    .equals("g5") && each.getString("mode", "").equals("STRICT")).toList();
+            assertEquals(lapsed.size(), 1, "it was strict first");
+            assertEquals(lapsed.get(0).getInt("nodes", -1), 0);
             assertEquals(rig.contradictions(LEASE_MS + ROUNDING_MS), List.of());
         }
     }
--- a/versions/src/main/java/opalcove/versions/Document.java
+++ b/versions/src/main/java/opalcove/versions/Document.java
@@ -67,6 +67,11 @@
                 least(a.ceilingRate(), b.ceilingRate()), least(a.ceilingBurst(), b.ceilingBurst()), a.ceilingSlack());
     }
 
+    /** The same with no node that takes new work, where the list is agreed on. */
+    Document closed() {
+        return nodes == null ? this : new Document(settings, List.of());
+    }
+
     /** The same with each plan's burst cut to one gateway's part of it. */
     Document held() {
         int gateways = Math.max(1, settings.gateways());
--- a/versions/src/main/java/opalcove/versions/VersionedState.java
+++ b/versions/src/main/java/opalcove/versions/VersionedState.java
@@ -70,6 +70,9 @@
     private long unreadable;
     private boolean stateRefused;
     private boolean led;
+    /** Until when a lapsed lease sends nothing to any node, and how many nodes are open now; -1: as discovery says. */
+    private long closedTill;
+    private int openNodes = -1;
     /** Whether this process has written a snapshot. */
     private boolean kept;
     /** What others read: what to act on once the lease has lapsed, and when that is (Long.MAX_VALUE: it cannot). */
@@ -198,8 +201,12 @@
         }
         Document least = base.strict(before == null ? base : before);
         boolean holds = plan != null && plan.quotasHeld();
-        strict = acting(standing.version(), holds ? least.held() : least, true, coldSince);
-        act.accept(isStrict ? strict : acting(standing.version(), holds ? base.held() : base, false, coldSince));
+        // A version that it did not hear of may have drained any node: at first a lapsed lease sends nothing to any.
+        strict = acting(standing.version(), (holds ? least.held() : least).closed(), true, coldSince);
+        Acting next = !isStrict ? acting(standing.version(), holds ? base.held() : base, false, coldSince)
+                : now() < closedTill ? strict : acting(standing.version(), holds ? least.held() : least, true, coldSince);
+        openNodes = next.nodes() == null ? -1 : next.nodes().size();
+        act.accept(next);
     }
 
     private static Acting acting(long version, Document document, boolean strict, long coldSince) {
@@ -336,10 +343,15 @@
                 before = held;
                 held = Document.read(text).at(own);
             }
+            if (is.mode() == Standing.Mode.STRICT) {
+                long graceMs = settings.leaseMs() / 4;
+                closedTill = now() + graceMs;
+                vertx.setTimer(graceMs, due -> act());
+            }
             act();
             Logger.info("agreement: version {} is acted on {}", is.version(), is.mode());
             event(Json.object().add("event", "acting").add("version", is.version()).add("mode", is.mode().name())
-                    .add("ended_ms", System.currentTimeMillis() + Math.min(0, was.untilMs() - now())));
+                    .add("nodes", openNodes).add("ended_ms", System.currentTimeMillis() + Math.min(0, was.untilMs() - now())));
         }
     }
 }
