--- a/laboratory/src/main/java/opalcove/laboratory/AgreementTrial.java
+++ b/laboratory/src/main/java/opalcove/laboratory/AgreementTrial.java
@@ -98,12 +98,6 @@
     private AgreementTrial() {
     }
 
-    private static String document(int turn) {
-        JsonObject settings = Json.parse(Laboratory.settingsText()).asObject();
-        settings.get("ceilings").asObject().set("max_attempts", 1 + turn % 6);
-        return Json.object().add("settings", settings).toString();
-    }
-
     private static List<String> names(Plan plan) {
         List<String> names = new ArrayList<>();
         for (int i = 1; i <= plan.gateways(); i++) {
@@ -139,7 +133,7 @@
         try (ClusterRig rig = rig(plan, plan.seed())) {
             for (int round = 1; round <= plan.rounds(); round++) {
                 long at = System.currentTimeMillis();
-                rig.operator("g1").propose(round - 1, "trial", document(round));
+                rig.operator("g1").propose(round - 1, "trial", ClusterRig.document(1 + round % 6));
                 String wanted = round + " FULL";
                 if (!rig.await(r -> names.stream().allMatch(name -> r.actsOn(name).equals(wanted)), MOST_MS)) {
                     throw new IOException("waited " + MOST_MS + " ms in vain for all to act on version " + round);
@@ -317,7 +311,7 @@
         public void propose(String through, long base, int turn) {
             proposals.add(CompletableFuture.supplyAsync(() -> {
                 try {
-                    return rig.operator(through).propose(base, "trial", document(turn));
+                    return rig.operator(through).propose(base, "trial", ClusterRig.document(1 + turn % 6));
                 } catch (IOException e) {
                     throw new java.io.UncheckedIOException(e);
                 }
--- a/laboratory/src/main/java/opalcove/laboratory/ClusterRig.java
+++ b/laboratory/src/main/java/opalcove/laboratory/ClusterRig.java
@@ -103,6 +103,13 @@
         reader.start();
     }
 
+    /** A version's text that allows so many attempts. */
+    static String document(int attempts) {
+        JsonObject settings = Json.parse(Laboratory.settingsText()).asObject();
+        settings.get("ceilings").asObject().set("max_attempts", attempts);
+        return Json.object().add("settings", settings).toString();
+    }
+
     /** Where a member keeps its vote. */
     public Path state(String name) {
         return folder.resolve(name + ".state");
--- a/laboratory/src/main/java/opalcove/laboratory/RigScenario.java
+++ b/laboratory/src/main/java/opalcove/laboratory/RigScenario.java
@@ -14,21 +14,27 @@
  * A scenario for the cluster rig, from a file: members, and steps that start, pause, kill or end them, cut and heal their
  * ways, wait for what they tell of one another, and say what they must not have told. Seeded, each wait bounded.
  */
-public record RigScenario(long seed, int probeMs, List<String> seeds, long mostMs, List<Step> steps) {
+public record RigScenario(long seed, int probeMs, List<String> seeds, List<String> voters, int leaseMs, long mostMs,
+                          List<Step> steps) {
     /** What a step does. */
-    public enum Action { START, KILL, LEAVE, PAUSE, RESUME, CUT, HEAL, NET, AWAIT, NEVER }
+    public enum Action { START, KILL, LEAVE, PAUSE, RESUME, CUT, HEAL, NET, AWAIT, NEVER, PROPOSE, ACTS, AGREED }
 
     /**
      * One step. {@code who}: whom it is done to, the senders for CUT, the observers for AWAIT and NEVER; {@code of}: the
      * receivers for CUT, the observed for AWAIT and NEVER; forMs: for PAUSE, 0 for until RESUME. NET without {@code who} is
-     * everybody's net, with it that of all that these members send and get.
+     * everybody's net, with it that of all that these members send and get. PROPOSE: in place of version {@code base}, one that
+     * allows so many attempts, through the first of {@code who}; ACTS: waits until these act on {@code state}, such as
+     * {@code 2 FULL}; AGREED: no two acted on different versions for longer than the lease.
      */
     public record Step(Action action, List<String> who, List<String> of, String state, long forMs,
-                       MembershipModel.Net net) { }
+                       MembershipModel.Net net, long base, int attempts) { }
 
-    private static final Set<String> KEYS = Set.of("seed", "probe_ms", "members", "seeds", "most_s", "steps");
+    private static final Set<String> KEYS = Set.of("seed", "probe_ms", "members", "seeds", "voters", "lease_ms",
+            "most_s", "steps");
     private static final Set<String> STATES = Set.of("ALIVE", "SUSPECT", "DEAD", "LEFT");
     private static final int MOST_MEMBERS = 64;
+    /** What whole milliseconds of two processes' clocks differ by. */
+    private static final long ROUNDING_MS = 5;
 
     /** Reads a scenario; all that is wrong with it is told at once, by file, key and reason. */
     public static RigScenario read(Path file) {
@@ -40,6 +46,12 @@
         }
         List<String> seeds = check.ask(() -> fields.texts("seeds"), List.of());
         known(check, "seeds", seeds, members);
+        List<String> voters = check.ask(() -> fields.has("voters") ? fields.texts("voters") : List.<String>of(), List.of());
+        known(check, "voters", voters, members);
+        int leaseMs = check.ask(() -> fields.wholeOr("lease_ms", 2000), 2000);
+        if (leaseMs < 200 || leaseMs > 60_000 || !voters.isEmpty() && voters.size() % 2 == 0) {
+            check.problem("field lease_ms must be from 200 to 60000, and voters an odd number of members");
+        }
         int probeMs = check.ask(() -> fields.wholeOr("probe_ms", 500), 500);
         int mostS = check.ask(() -> fields.wholeOr("most_s", 60), 60);
         if (probeMs < 20 || mostS < 1 || mostS > 3600) {
@@ -51,6 +63,9 @@
             if (step != null) {
                 known(check, each.path() + ".who", step.who(), members);
                 known(check, each.path() + ".of", step.of(), members);
+                if (voters.isEmpty() && step.action().ordinal() >= Action.PROPOSE.ordinal()) {
+                    check.problem("field " + each.path() + ".do is " + step.action() + ", but there are no voters");
+                }
                 steps.add(step);
             }
         }
@@ -59,7 +74,7 @@
         }
         long seed = check.ask(() -> fields.has("seed") ? fields.serial("seed") : 1L, 1L);
         check.end();
-        return new RigScenario(seed, probeMs, seeds, mostS * 1000L, steps);
+        return new RigScenario(seed, probeMs, seeds, voters, leaseMs, mostS * 1000L, steps);
     }
 
     private static void known(Check check, String key, List<String> names, List<String> members) {
@@ -72,7 +87,7 @@
         List<String> who = f.has("who") ? f.texts("who") : action == Action.NET ? List.of() : members;
         List<String> of = f.has("of") ? f.texts("of") : members;
         boolean tells = action == Action.AWAIT || action == Action.NEVER;
-        String state = tells ? f.text("state") : "";
+        String state = tells || action == Action.ACTS ? f.text("state") : "";
         if (tells && !STATES.contains(state)) {
             throw new BadSettings("field " + f.path() + ".state must be one of " + STATES);
         }
@@ -84,7 +99,8 @@
         if (loss < 0 || loss > 1 || repeated < 0 || repeated > 1 || least < 0 || most < least || forMs < 0) {
             throw new BadSettings("field " + f.path() + " must have shares from 0 to 1 and times that are not below 0");
         }
-        return new Step(action, who, of, state, forMs, new MembershipModel.Net(loss, repeated, least, most));
+        return new Step(action, who, of, state, forMs, new MembershipModel.Net(loss, repeated, least, most),
+                f.wholeOr("base", 0), f.wholeOr("attempts", 6));
     }
 
     /**
@@ -93,7 +109,7 @@
      */
     public List<String> play(Consumer<ClusterRig.Event> events) throws IOException, InterruptedException {
         List<String> wrong = new ArrayList<>();
-        try (ClusterRig rig = new ClusterRig(seed, probeMs, seeds)) {
+        try (ClusterRig rig = new ClusterRig(seed, probeMs, seeds, voters, leaseMs)) {
             for (int i = 0; i < steps.size() && wrong.isEmpty(); i++) {
                 if (!play(rig, steps.get(i))) {
                     wrong.add("steps[" + i + "] " + steps.get(i).action() + ": " + steps.get(i).of() + " "
@@ -121,6 +137,16 @@
                 return rig.history().stream().noneMatch(each -> each.state().equals(step.state())
                         && step.who().contains(each.observer()) && step.of().contains(each.name()));
             }
+            case PROPOSE -> {
+                return rig.operator(step.who().get(0)).propose(step.base(), "scenario",
+                        ClusterRig.document(step.attempts())).taken();
+            }
+            case ACTS -> {
+                return rig.await(r -> step.who().stream().allMatch(name -> r.actsOn(name).equals(step.state())), mostMs);
+            }
+            case AGREED -> {
+                return rig.contradictions(leaseMs + ROUNDING_MS).isEmpty();
+            }
             default -> {
                 for (String who : step.who()) {
                     act(rig, step, who);
--- a/laboratory/src/test/java/opalcove/laboratory/ClusterRigTest.java
+++ b/laboratory/src/test/java/opalcove/laboratory/ClusterRigTest.java
@@ -40,19 +40,21 @@
 
     /**
      * The scenarios that the examples tell: short pauses, loss and a one-sided cut are no death, a crash is one; a member
-     * that is slow itself has no healthy one held for dead; three messages of ten lost, and the fleet is whole after it.
+     * that is slow itself has no healthy one held for dead; three messages of ten lost, and the fleet is whole after it; a gateway that
+     * cannot ask is strict, and no version outlives its lease.
      */
     @Test(dataProvider = "examples")
     public void theExampleComesOutAsItWants(String example) throws Exception {
         List<ClusterRig.Event> events = new ArrayList<>();
         List<String> wrong = RigScenario.read(Path.of("example", example)).play(events::add);
         assertEquals(wrong, List.of(), events.toString());
-        assertTrue(events.stream().anyMatch(each -> each.state().equals("DEAD") && each.name().equals("g5")));
+        assertTrue(example.contains("agreement")
+                || events.stream().anyMatch(each -> each.state().equals("DEAD") && each.name().equals("g5")));
     }
 
     @DataProvider
     public Object[] examples() {
-        return new Object[] {"rig-faults.json", "rig-slow-member.json", "rig-heavy-loss.json"};
+        return new Object[] {"rig-faults.json", "rig-slow-member.json", "rig-heavy-loss.json", "rig-agreement.json"};
     }
 
     @Test
--- a/laboratory/src/test/java/opalcove/laboratory/RecoveryRigTest.java
+++ b/laboratory/src/test/java/opalcove/laboratory/RecoveryRigTest.java
@@ -3,7 +3,6 @@
 import static org.testng.Assert.assertEquals;
 import static org.testng.Assert.assertTrue;
 
-import com.eclipsesource.json.Json;
 import com.eclipsesource.json.JsonObject;
 import java.io.IOException;
 import java.nio.file.Files;
@@ -20,12 +19,6 @@
     private static final int LEASE_MS = 1500;
     private static final long ROUNDING_MS = 5;
 
-    private static String document(int attempts) {
-        JsonObject settings = Json.parse(Laboratory.settingsText()).asObject();
-        settings.get("ceilings").asObject().set("max_attempts", attempts);
-        return Json.object().add("settings", settings).toString();
-    }
-
     private static void powerLoss(ClusterRig rig) throws InterruptedException {
         for (String name : ALL) {
             rig.kill(name);
@@ -53,7 +46,7 @@
     public void theFleetComesBackOnOneVersionWithWhatItMayTrust() throws Exception {
         try (ClusterRig rig = new ClusterRig(21, 500, List.of("g1", "g2"), List.of("g1", "g2", "g3"), LEASE_MS)) {
             start(rig, ALL);
-            assertEquals(rig.operator("g1").propose(0, "ops", document(6)), new Registry.Outcome(true, 1, ""));
+            assertEquals(rig.operator("g1").propose(0, "ops", ClusterRig.document(6)), new Registry.Outcome(true, 1, ""));
             assertTrue(rig.await(r -> ALL.stream().allMatch(name -> r.actsOn(name).equals("1 FULL")
                     && r.versionEvents().stream().anyMatch(each -> each.getString("event", "").equals("snapshot")
                             && each.getString("observer", "").equals(name))), MOST_MS), rig.versionEvents().toString());
@@ -61,7 +54,7 @@
             // The power goes while a change is half agreed; one snapshot is torn by it, one is missing.
             CompletableFuture<Registry.Outcome> half = CompletableFuture.supplyAsync(() -> {
                 try {
-                    return rig.operator("g2").propose(1, "ops", document(3));
+                    return rig.operator("g2").propose(1, "ops", ClusterRig.document(3));
                 } catch (IOException e) {
                     throw new java.io.UncheckedIOException(e);
                 }
