Share virtual time and its network between the two models

Both models had an event queue, pauses, cuts and lossy ways of their own, the same lines twice (found by the read-over). Change: VirtualNet has them once; the models keep what is theirs.

--- a/laboratory/src/main/java/opalcove/laboratory/AgreementModel.java
+++ b/laboratory/src/main/java/opalcove/laboratory/AgreementModel.java
@@ -3,15 +3,11 @@
 import com.eclipsesource.json.Json;
 import com.eclipsesource.json.JsonObject;
 import java.util.ArrayList;
-import java.util.Comparator;
 import java.util.HashMap;
-import java.util.HashSet;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
-import java.util.PriorityQueue;
 import java.util.Random;
-import java.util.Set;
 import java.util.SplittableRandom;
 import java.util.TreeMap;
 import opalcove.agreement.Standing;
@@ -24,7 +20,7 @@
  * them loses, delays, repeats and cuts, processes stand still and end, and each gateway's clock is off by its own skew.
  * Seeded; the same seed and calls give the same history.
  */
-public final class AgreementModel {
+public final class AgreementModel extends VirtualNet {
     /** What a proposal came to: taken or not, the version told and why; null fields until an answer came. */
     public static final class Proposed {
         private JsonObject answer;
@@ -47,14 +43,10 @@
         }
     }
 
-    private record Event(long at, long order, Runnable what) { }
-
-    private final class Node implements VersionDesk.Host {
+    private final class Node extends Process implements VersionDesk.Host {
         private final String name;
         private final long skew;
         private final VersionDesk desk;
-        private boolean up = true;
-        private long pausedTill;
         private long tickAt = Long.MAX_VALUE;
 
         Node(String name, boolean votes, long skew) {
@@ -70,7 +62,7 @@
 
         @Override
         public long now() {
-            return now + skew;
+            return AgreementModel.this.now() + skew;
         }
 
         @Override
@@ -80,31 +72,20 @@
 
         @Override
         public void later(long ms, Runnable task) {
-            at(now + ms, () -> whenAwake(task));
+            at(AgreementModel.this.now() + ms, () -> whenAwake(task));
         }
 
         @Override
         public void stands(Standing before, Standing after, String text) {
-            long ended = before.mode() == Standing.Mode.FULL ? before.untilMs() - skew : now;
-            acted.stands(name, after.version(), after.mode() == Standing.Mode.FULL, now, ended);
-            adopted.computeIfAbsent(after.version(), version -> new TreeMap<>()).putIfAbsent(name, now);
-        }
-
-        /** Runs once the process runs: what comes while it stands still waits, as in a socket's buffer. */
-        private void whenAwake(Runnable what) {
-            if (!up) {
-                return;
-            }
-            if (now < pausedTill) {
-                at(pausedTill, () -> whenAwake(what));
-                return;
-            }
-            what.run();
-            arm();
+            long at = AgreementModel.this.now();
+            long ended = before.mode() == Standing.Mode.FULL ? before.untilMs() - skew : at;
+            acted.stands(name, after.version(), after.mode() == Standing.Mode.FULL, at, ended);
+            adopted.computeIfAbsent(after.version(), version -> new TreeMap<>()).putIfAbsent(name, at);
         }
 
-        private void arm() {
-            long due = Math.max(now, desk.lease().due() - skew);
+        @Override
+        void arm() {
+            long due = Math.max(AgreementModel.this.now(), desk.lease().due() - skew);
             if (due < tickAt) {
                 tickAt = due;
                 at(due, () -> {
@@ -117,24 +98,17 @@
         }
     }
 
-    private final SplittableRandom random;
     private final long leaseMs;
     private final Map<String, String> voters = new LinkedHashMap<>();
-    private final PriorityQueue<Event> events = new PriorityQueue<>(
-            Comparator.comparingLong(Event::at).thenComparingLong(Event::order));
     private final Map<String, Node> nodes = new TreeMap<>();
     private final Map<String, Proposed> proposals = new HashMap<>();
-    private final Set<String> cuts = new HashSet<>();
     private final Contradictions acted = new Contradictions();
     private final Map<Long, Map<String, Long>> adopted = new TreeMap<>();
-    private MembershipModel.Net net = MembershipModel.Net.SOUND;
-    private long now = 1_000_000;
-    private long order;
     private long messages;
 
     /** Gateways g1, g2, ..., of which the first few vote; each clock is off by up to so much, either way. */
     public AgreementModel(long seed, int gateways, int voting, long leaseMs, long skewMs) {
-        random = new SplittableRandom(seed);
+        super(1_000_000, new SplittableRandom(seed));
         this.leaseMs = leaseMs;
         for (int i = 1; i <= voting; i++) {
             voters.put("g" + i, "g" + i);
@@ -147,21 +121,10 @@
         }
     }
 
-    private void at(long time, Runnable what) {
-        events.add(new Event(time, order++, what));
-    }
-
     private void carry(String from, String to, Packet packet) {
         messages++;
-        if (cuts.contains(from + ">" + to) || random.nextDouble() < net.loss()) {
-            return;
-        }
         byte[] bytes = packet.bytes();
-        int copies = random.nextDouble() < net.repeated() ? 2 : 1;
-        for (int i = 0; i < copies; i++) {
-            long ms = net.leastMs() + random.nextLong(net.mostMs() - net.leastMs() + 1);
-            at(now + ms, () -> arrive(to, Packet.read(bytes)));
-        }
+        carry(from, to, () -> arrive(to, Packet.read(bytes)));
     }
 
     private void arrive(String to, Packet packet) {
@@ -192,48 +155,18 @@
         String voter = all.get((all.indexOf(through) + tries) % all.size());
         carry(client, voter, new Packet(client, client, Packet.Kind.PROPOSE, tries, Json.object().add("id", client)
                 .add("base", base).add("by", client).add("t", Packet.packed(text))));
-        at(now + 300, () -> call(client, through, base, text, tries + 1));
+        at(now() + 300, () -> call(client, through, base, text, tries + 1));
     }
 
     /** Ends a gateway at once. */
     public void kill(String name) {
-        nodes.get(name).up = false;
-        acted.ended(name, now);
+        nodes.get(name).end();
+        acted.ended(name, now());
     }
 
     /** Stops a gateway for so long. */
     public void pause(String name, long ms) {
-        nodes.get(name).pausedTill = now + ms;
-    }
-
-    /** Cuts the way from one gateway to another, in that direction only. */
-    public void cut(String from, String to) {
-        cuts.add(from + ">" + to);
-    }
-
-    /** Heals all cuts. */
-    public void heal() {
-        cuts.clear();
-    }
-
-    /** What the network does from now on. */
-    public void net(MembershipModel.Net next) {
-        net = next;
-    }
-
-    /** Lets so much virtual time go by. */
-    public void run(long ms) {
-        long end = now + ms;
-        while (!events.isEmpty() && events.peek().at() <= end) {
-            Event next = events.poll();
-            now = Math.max(now, next.at());
-            next.what().run();
-        }
-        now = end;
-    }
-
-    public long now() {
-        return now;
+        nodes.get(name).pause(ms);
     }
 
     /** Messages sent so far. */
@@ -248,14 +181,14 @@
 
     /** The voter that leads, as those that run have it; null where none does. */
     public String leader() {
-        return nodes.values().stream().filter(each -> each.up && now >= each.pausedTill && each.desk.leads())
+        return nodes.values().stream().filter(each -> each.isAwake() && each.desk.leads())
                 .map(each -> each.name).findFirst().orElse(null);
     }
 
     /** What each gateway that runs acts on. */
     public Map<String, Standing> standings() {
         Map<String, Standing> standings = new TreeMap<>();
-        nodes.values().stream().filter(each -> each.up).forEach(each -> standings.put(each.name, each.desk.lease().standing()));
+        nodes.values().stream().filter(Node::isUp).forEach(each -> standings.put(each.name, each.desk.lease().standing()));
         return standings;
     }
 
--- a/laboratory/src/main/java/opalcove/laboratory/MembershipModel.java
+++ b/laboratory/src/main/java/opalcove/laboratory/MembershipModel.java
@@ -1,13 +1,8 @@
 package opalcove.laboratory;
 
 import java.util.ArrayList;
-import java.util.Comparator;
-import java.util.HashMap;
-import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
-import java.util.PriorityQueue;
-import java.util.Set;
 import java.util.SplittableRandom;
 import java.util.TreeMap;
 import opalcove.membership.Figures;
@@ -19,7 +14,7 @@
  * The membership protocol in virtual time, without sockets: the members' parts are the real ones, the network between them
  * loses, delays, repeats and cuts. Seeded; the same seed and calls give the same history.
  */
-public final class MembershipModel {
+public final class MembershipModel extends VirtualNet {
     /** What the network does to each message: the shares lost and repeated, and the bounds of its way, ms. */
     public record Net(double loss, double repeated, long leastMs, long mostMs) {
         /** A sound network of one site. */
@@ -29,20 +24,16 @@
     /** A change of what one member holds of another; before is null for one that was not known. */
     public record Change(long at, String observer, Member before, Member after) { }
 
-    private record Event(long at, long order, Runnable what) { }
-
-    private final class Node {
+    private final class Node extends Process {
         final String name;
         final long incarnation;
         final Swim swim;
-        boolean up = true;
-        long pausedTill;
         long tickAt = Long.MAX_VALUE;
 
         Node(String name) {
             this.name = name;
-            incarnation = now + 1;
-            swim = new Swim(now, name, name, incarnation, seeds, figures, random.split(), new Swim.Host() {
+            incarnation = now() + 1;
+            swim = new Swim(now(), name, name, incarnation, seeds, figures, random.split(), new Swim.Host() {
                 @Override
                 public void send(String address, Message message) {
                     carry(name, address, message);
@@ -50,32 +41,20 @@
 
                 @Override
                 public void changed(Member before, Member after) {
-                    history.add(new Change(now, name, before, after));
+                    history.add(new Change(now(), name, before, after));
                 }
             });
         }
 
-        /** Runs once the process runs: what comes while it stands still waits, as in a socket's buffer. */
-        void whenAwake(Runnable what) {
-            if (!up) {
-                return;
-            }
-            if (now < pausedTill) {
-                at(pausedTill, () -> whenAwake(what));
-                return;
-            }
-            what.run();
-            arm();
-        }
-
+        @Override
         void arm() {
-            long due = Math.max(now, swim.due());
+            long due = Math.max(now(), swim.due());
             if (due < tickAt) {
                 tickAt = due;
                 at(due, () -> {
                     if (tickAt == due) {
                         tickAt = Long.MAX_VALUE;
-                        whenAwake(() -> swim.tick(now));
+                        whenAwake(() -> swim.tick(now()));
                     }
                 });
             }
@@ -84,29 +63,17 @@
 
     private final Figures figures;
     private final List<String> seeds;
-    private final SplittableRandom random;
-    private final PriorityQueue<Event> events = new PriorityQueue<>(
-            Comparator.comparingLong(Event::at).thenComparingLong(Event::order));
     private final Map<String, Node> nodes = new TreeMap<>();
-    private final Set<String> cuts = new HashSet<>();
-    private final Map<String, Net> nets = new HashMap<>();
     private final List<Change> history = new ArrayList<>();
-    private Net net = Net.SOUND;
-    private long now = 1000;
-    private long order;
     private long messages;
     private long words;
 
     public MembershipModel(long seed, Figures figures, List<String> seeds) {
-        random = new SplittableRandom(seed);
+        super(1000, new SplittableRandom(seed));
         this.figures = figures;
         this.seeds = List.copyOf(seeds);
     }
 
-    private void at(long time, Runnable what) {
-        events.add(new Event(time, order++, what));
-    }
-
     /** Starts a member, or starts it again; its address is its name. */
     public void start(String name) {
         Node node = new Node(name);
@@ -126,71 +93,30 @@
 
     /** Ends a member at once, telling nobody. */
     public void kill(String name) {
-        nodes.get(name).up = false;
+        nodes.get(name).end();
     }
 
     /** Stops a member for so long, as a long collection or SIGSTOP does. */
     public void pause(String name, long ms) {
-        nodes.get(name).pausedTill = now + ms;
+        nodes.get(name).pause(ms);
     }
 
     /** Has a member say that it goes, and ends it half a second later. */
     public void leave(String name) {
         Node node = nodes.get(name);
-        node.whenAwake(() -> node.swim.leave(now));
-        at(now + 500, () -> node.up = false);
-    }
-
-    /** What the network does from now on, between members that have no net of their own. */
-    public void net(Net next) {
-        net = next;
-    }
-
-    /** What the network does to all that one member sends and gets. */
-    public void net(String name, Net own) {
-        nets.put(name, own);
-    }
-
-    /** Cuts the way from one member to another, in that direction only. */
-    public void cut(String from, String to) {
-        cuts.add(from + ">" + to);
-    }
-
-    /** Heals all cuts. */
-    public void heal() {
-        cuts.clear();
+        node.whenAwake(() -> node.swim.leave(now()));
+        at(now() + 500, node::end);
     }
 
     private void carry(String from, String to, Message message) {
         messages++;
         words += message.gossip().size();
         Node target = nodes.get(to);
-        Net way = nets.getOrDefault(from, nets.getOrDefault(to, net));
-        if (target == null || cuts.contains(from + ">" + to) || random.nextDouble() < way.loss()) {
-            return;
-        }
-        int copies = random.nextDouble() < way.repeated() ? 2 : 1;
-        for (int i = 0; i < copies; i++) {
-            at(now + way.leastMs() + random.nextLong(way.mostMs() - way.leastMs() + 1),
-                    () -> target.whenAwake(() -> target.swim.receive(now, message)));
+        if (target != null) {
+            carry(from, to, () -> target.whenAwake(() -> target.swim.receive(now(), message)));
         }
     }
 
-    /** Lets so much virtual time go by. */
-    public void run(long ms) {
-        long end = now + ms;
-        while (!events.isEmpty() && events.peek().at() <= end) {
-            Event next = events.poll();
-            now = Math.max(now, next.at());
-            next.what().run();
-        }
-        now = end;
-    }
-
-    public long now() {
-        return now;
-    }
-
     /** Messages sent so far, by all members. */
     public long messages() {
         return messages;
--- /dev/null
+++ b/laboratory/src/main/java/opalcove/laboratory/VirtualNet.java
@@ -0,0 +1,120 @@
+package opalcove.laboratory;
+
+import java.util.Comparator;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.Map;
+import java.util.PriorityQueue;
+import java.util.Set;
+import java.util.SplittableRandom;
+
+/**
+ * Virtual time and a network in it, for models without sockets: events in their order, and messages that are lost, delayed,
+ * repeated and cut by draws of the random numbers given. The same numbers and calls give the same history.
+ */
+class VirtualNet {
+    private record Event(long at, long order, Runnable what) { }
+
+    /** A process in the model: it may stand still, and end. */
+    class Process {
+        private boolean up = true;
+        private long pausedTill;
+
+        /** Runs once the process runs: what comes while it stands still waits, as in a socket's buffer. */
+        void whenAwake(Runnable what) {
+            if (!up) {
+                return;
+            }
+            if (now < pausedTill) {
+                at(pausedTill, () -> whenAwake(what));
+                return;
+            }
+            what.run();
+            arm();
+        }
+
+        /** Sees to the process's next timer; called after all that it did. */
+        void arm() { }
+
+        boolean isUp() {
+            return up;
+        }
+
+        boolean isAwake() {
+            return up && now >= pausedTill;
+        }
+
+        void end() {
+            up = false;
+        }
+
+        void pause(long ms) {
+            pausedTill = now + ms;
+        }
+    }
+
+    final SplittableRandom random;
+    private final PriorityQueue<Event> events = new PriorityQueue<>(
+            Comparator.comparingLong(Event::at).thenComparingLong(Event::order));
+    private final Set<String> cuts = new HashSet<>();
+    private final Map<String, MembershipModel.Net> nets = new HashMap<>();
+    private MembershipModel.Net net = MembershipModel.Net.SOUND;
+    private long now;
+    private long order;
+
+    VirtualNet(long start, SplittableRandom random) {
+        now = start;
+        this.random = random;
+    }
+
+    void at(long time, Runnable what) {
+        events.add(new Event(time, order++, what));
+    }
+
+    /** A message on its way: it arrives later, once, twice or not at all. */
+    void carry(String from, String to, Runnable arrives) {
+        MembershipModel.Net way = nets.getOrDefault(from, nets.getOrDefault(to, net));
+        if (cuts.contains(from + ">" + to) || random.nextDouble() < way.loss()) {
+            return;
+        }
+        int copies = random.nextDouble() < way.repeated() ? 2 : 1;
+        for (int i = 0; i < copies; i++) {
+            at(now + way.leastMs() + random.nextLong(way.mostMs() - way.leastMs() + 1), arrives);
+        }
+    }
+
+    /** What the network does from now on, between members that have no net of their own. */
+    public void net(MembershipModel.Net next) {
+        net = next;
+    }
+
+    /** What the network does to all that one member sends and gets. */
+    public void net(String name, MembershipModel.Net own) {
+        nets.put(name, own);
+    }
+
+    /** Cuts the way from one member to another, in that direction only. */
+    public void cut(String from, String to) {
+        cuts.add(from + ">" + to);
+    }
+
+    /** Heals all cuts. */
+    public void heal() {
+        cuts.clear();
+    }
+
+    /** Lets so much virtual time go by. */
+    public void run(long ms) {
+        long end = now + ms;
+        while (!events.isEmpty() && events.peek().at() <= end) {
+            Event next = events.poll();
+            now = Math.max(now, next.at());
+            next.what().run();
+        }
+        now = end;
+    }
+
+    public long now() {
+        return now;
+    }
+}
