Draw the faults of the rig and of the models in one place

Cause, found by the read-over: the rig's fault proxy and the models' VirtualNet each kept cuts, nets and the draws of loss, repeats and delays, the same logic twice. Change: Faults has them once, in the same order of draws; both hold their messages as before.

--- a/laboratory/src/main/java/opalcove/laboratory/FaultProxy.java
+++ b/laboratory/src/main/java/opalcove/laboratory/FaultProxy.java
@@ -12,10 +12,8 @@
 import java.util.Arrays;
 import java.util.Comparator;
 import java.util.HashMap;
-import java.util.HashSet;
 import java.util.Map;
 import java.util.PriorityQueue;
-import java.util.Set;
 import java.util.SplittableRandom;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Function;
@@ -34,14 +32,11 @@
     private final Selector selector = Selector.open();
     private final Map<String, DatagramChannel> doors = new HashMap<>();
     private final Map<String, SocketAddress> real = new HashMap<>();
-    private final Set<String> cuts = new HashSet<>();
     private final PriorityQueue<Held> held = new PriorityQueue<>(
             Comparator.comparingLong(Held::dueNanos).thenComparingLong(Held::order));
-    private final SplittableRandom random;
+    private final Faults faults;
     private final Function<byte[], String> sender;
     private final Thread thread = new Thread(this::run, "fault-proxy");
-    private MembershipModel.Net net = new MembershipModel.Net(0, 0, 0, 0);
-    private final Map<String, MembershipModel.Net> nets = new HashMap<>();
     private long order;
     private long offered;
     private long bytes;
@@ -49,7 +44,7 @@
     /** Faults are drawn by the seed; sender tells a datagram's sender, or fails with {@link BadSettings}. */
     FaultProxy(long seed, Function<byte[], String> sender) throws IOException {
         this.sender = sender;
-        random = new SplittableRandom(seed);
+        faults = new Faults(new SplittableRandom(seed), new MembershipModel.Net(0, 0, 0, 0));
         thread.setDaemon(true);
         thread.start();
     }
@@ -71,20 +66,20 @@
 
     /** What happens to each datagram from now on, between members that have no net of their own. */
     synchronized void net(MembershipModel.Net next) {
-        net = next;
+        faults.net(next);
     }
 
     /** What happens to all that one member sends and gets. */
     synchronized void net(String member, MembershipModel.Net own) {
-        nets.put(member, own);
+        faults.net(member, own);
     }
 
     synchronized void cut(String from, String to) {
-        cuts.add(from + ">" + to);
+        faults.cut(from, to);
     }
 
     synchronized void heal() {
-        cuts.clear();
+        faults.heal();
     }
 
     /** Datagrams that members sent so far. */
@@ -144,13 +139,7 @@
     }
 
     private void carry(DatagramChannel door, String from, String to, byte[] datagram) {
-        MembershipModel.Net way = nets.getOrDefault(from, nets.getOrDefault(to, net));
-        if (cuts.contains(from + ">" + to) || random.nextDouble() < way.loss()) {
-            return;
-        }
-        int copies = random.nextDouble() < way.repeated() ? 2 : 1;
-        for (int i = 0; i < copies; i++) {
-            long ms = way.leastMs() + random.nextLong(way.mostMs() - way.leastMs() + 1);
+        for (long ms : faults.delays(from, to)) {
             held.add(new Held(System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(ms), order++, door, datagram, to));
         }
     }
--- a/laboratory/src/main/java/opalcove/laboratory/VirtualNet.java
+++ b/laboratory/src/main/java/opalcove/laboratory/VirtualNet.java
@@ -1,11 +1,7 @@
 package opalcove.laboratory;
 
 import java.util.Comparator;
-import java.util.HashMap;
-import java.util.HashSet;
-import java.util.Map;
 import java.util.PriorityQueue;
-import java.util.Set;
 import java.util.SplittableRandom;
 
 /**
@@ -56,15 +52,14 @@
     final SplittableRandom random;
     private final PriorityQueue<Event> events = new PriorityQueue<>(
             Comparator.comparingLong(Event::at).thenComparingLong(Event::order));
-    private final Set<String> cuts = new HashSet<>();
-    private final Map<String, MembershipModel.Net> nets = new HashMap<>();
-    private MembershipModel.Net net = MembershipModel.Net.SOUND;
+    private final Faults faults;
     private long now;
     private long order;
 
     VirtualNet(long start, SplittableRandom random) {
         now = start;
         this.random = random;
+        faults = new Faults(random, MembershipModel.Net.SOUND);
     }
 
     void at(long time, Runnable what) {
@@ -73,34 +68,29 @@
 
     /** A message on its way: it arrives later, once, twice or not at all. */
     void carry(String from, String to, Runnable arrives) {
-        MembershipModel.Net way = nets.getOrDefault(from, nets.getOrDefault(to, net));
-        if (cuts.contains(from + ">" + to) || random.nextDouble() < way.loss()) {
-            return;
-        }
-        int copies = random.nextDouble() < way.repeated() ? 2 : 1;
-        for (int i = 0; i < copies; i++) {
-            at(now + way.leastMs() + random.nextLong(way.mostMs() - way.leastMs() + 1), arrives);
+        for (long ms : faults.delays(from, to)) {
+            at(now + ms, arrives);
         }
     }
 
     /** What the network does from now on, between members that have no net of their own. */
     public void net(MembershipModel.Net next) {
-        net = next;
+        faults.net(next);
     }
 
     /** What the network does to all that one member sends and gets. */
     public void net(String name, MembershipModel.Net own) {
-        nets.put(name, own);
+        faults.net(name, own);
     }
 
     /** Cuts the way from one member to another, in that direction only. */
     public void cut(String from, String to) {
-        cuts.add(from + ">" + to);
+        faults.cut(from, to);
     }
 
     /** Heals all cuts. */
     public void heal() {
-        cuts.clear();
+        faults.heal();
     }
 
     /** Lets so much virtual time go by. */
