--- a/gateway/src/main/java/opalcove/platform/DiscoveryWatch.java
+++ b/gateway/src/main/java/opalcove/platform/DiscoveryWatch.java
@@ -25,22 +25,25 @@
 public final class DiscoveryWatch {
     /** The version of no list: the whole one is asked for. */
     static final long NO_INDEX = -1;
-    private static final int WAIT_MS = 10_000;
-
     /**
      * How calls are made. A list that is pushed lies with an agent on this machine, which answers at once and at no cost:
      * it is asked at once, and again soon. One that is asked for is one service for all gateways, of so much capacity: they
      * spread their first calls, wait longer each time, and wait for its refusal rather than leave calls in its line.
+     *
+     * <p>waitMs is how long a watch may wait for news, silenceMs how much later its answer may come before the watch counts
+     * as broken. What a pushed list's agent has counts as told at once, also when the agent has been silent and no call
+     * that was made meanwhile is ever answered: all of a call and the wait after it end within the second in which sends
+     * to a drained node have to stop. A list that is asked for counts as told 6 s after a watch has fallen silent.
      */
-    record Pace(int silenceMs, long firstAfterMs, GrowingWait again) {
+    record Pace(int waitMs, int silenceMs, long firstAfterMs, GrowingWait again) {
         /** Each gateway's first call goes out within so long for each of them, ms: not all in one instant after a release. */
         private static final double SPREAD_MS = 20;
 
         static Pace of(Admission.Settings settings, RandomGenerator random) {
             return settings.duties().listOnRequest()
-                    ? new Pace(2500, (long) (SPREAD_MS * (settings.gateways() - 1) * random.nextDouble()),
+                    ? new Pace(3000, 2500, (long) (SPREAD_MS * (settings.gateways() - 1) * random.nextDouble()),
                             new GrowingWait(200, 3200, random))
-                    : new Pace(1500, 0, new GrowingWait(100, 200, random));
+                    : new Pace(400, 400, 0, new GrowingWait(50, 100, random));
         }
     }
 
@@ -134,7 +137,8 @@
     private void watch() {
         int move = moves;
         Future<Void> call = index < 0 ? call("/v1/endpoints", pace.silenceMs(), move)
-                : call("/v1/endpoints?since=" + index + "&timeout_ms=" + WAIT_MS, WAIT_MS + pace.silenceMs(), move);
+                : call("/v1/endpoints?since=" + index + "&timeout_ms=" + pace.waitMs(),
+                        pace.waitMs() + pace.silenceMs(), move);
         call.onComplete(answer -> next(answer.succeeded(), move));
     }
 
--- a/gateway/src/test/java/opalcove/platform/DiscoveryWatchTest.java
+++ b/gateway/src/test/java/opalcove/platform/DiscoveryWatchTest.java
@@ -5,6 +5,7 @@
 
 import io.vertx.core.Vertx;
 import io.vertx.core.http.HttpServer;
+import io.vertx.core.http.HttpServerRequest;
 import java.util.HashSet;
 import java.util.List;
 import java.util.Queue;
@@ -76,6 +77,94 @@
         assertTrue(starts.size() >= 10, starts + "");
     }
 
+    /**
+     * A pushed list counts as told from the moment that its agent has it, also where the agent was silent till then and never
+     * answers what it was asked meanwhile: a call and the wait after it end within the second in which sends have to stop.
+     * One that is asked for counts as told 6 s after its watch fell silent.
+     */
+    @Test
+    public void aSilentWatchIsOpenedAnewBeforeWhatItMissedHasToBeKnown() {
+        for (int seed = 0; seed < 14; seed++) {
+            assertTrue(longestGap(DiscoveryWatch.Pace.of(settings("pushed"), new SplittableRandom(seed))) < 1000);
+            assertTrue(longestGap(DiscoveryWatch.Pace.of(settings("on_request"), new SplittableRandom(seed))) < 6000);
+        }
+    }
+
+    private static double longestGap(DiscoveryWatch.Pace pace) {
+        return pace.waitMs() + pace.silenceMs() + pace.again().next();
+    }
+
+    /** Two calls are never answered: the watch goes on, and hears of a drain that it missed. */
+    @Test
+    public void whatASilentWatchMissedIsHeardByTheNext() throws Exception {
+        Queue<String> calls = new ConcurrentLinkedQueue<>();
+        CompletableFuture<AppNode> drained = new CompletableFuture<>();
+        int port = serve(call -> {
+            calls.add(call.uri());
+            if (calls.size() == 1) {
+                call.response().end("{\"index\":4,\"snapshot\":true,\"endpoints\":[" + NODE + "]}");
+            } else if (calls.size() > 3 && !drained.isDone()) {
+                call.response().end("{\"index\":5,\"snapshot\":false,\"endpoints\":[" + NODE.replace("\"up\"", "\"draining\"") + "]}");
+            }
+        });
+        watch(port, new DiscoveryWatch.Pace(20, 20, 0, new GrowingWait(1, 2, new SplittableRandom(1))), (whole, lines) ->
+                lines.stream().filter(line -> line.host().state() == Admission.State.DRAINING).forEach(drained::complete));
+        assertEquals(drained.get(20, TimeUnit.SECONDS).name(), "s-1");
+        assertEquals(List.copyOf(calls).subList(0, 4), List.of("/v1/endpoints", "/v1/endpoints?since=4&timeout_ms=20",
+                "/v1/endpoints?since=4&timeout_ms=20", "/v1/endpoints?since=4&timeout_ms=20"));
+    }
+
+    /** The old discovery answers after the move, with a node that the new one has drained, and the new one counts from less. */
+    @Test
+    public void aLateAnswerOfTheDiscoveryThatWasLeftIsNotHeard() throws Exception {
+        CompletableFuture<HttpServerRequest> watched = new CompletableFuture<>();
+        CompletableFuture<Void> answeredLate = new CompletableFuture<>();
+        Queue<String> told = new ConcurrentLinkedQueue<>();
+        int old = serve(call -> {
+            if (call.uri().contains("since")) {
+                watched.complete(call);
+            } else {
+                call.response().end("{\"index\":40,\"snapshot\":true,\"endpoints\":[" + NODE + "]}");
+            }
+        });
+        CompletableFuture<String> second = new CompletableFuture<>();
+        int elsewhere = serve(call -> {
+            if (call.uri().contains("since")) {
+                second.complete(call.uri());
+            } else {
+                // The old one speaks first.
+                watched.join().response().end("{\"index\":41,\"snapshot\":true,\"endpoints\":["
+                        + NODE.replace("s-1", "s-2") + "]}").onComplete(written -> {
+                            answeredLate.complete(null);
+                            call.response().end("{\"index\":3,\"snapshot\":true,\"endpoints\":["
+                                    + NODE.replace("\"up\"", "\"draining\"") + "]}");
+                        });
+            }
+        });
+        DiscoveryWatch watch = watch(old, new DiscoveryWatch.Pace(10_000, 20_000, 0, new GrowingWait(1, 2,
+                new SplittableRandom(1))), (whole, lines) -> lines.forEach(line ->
+                        told.add(line.name() + " " + line.host().state())));
+        watched.get(20, TimeUnit.SECONDS);
+        vertx.runOnContext(move -> watch.moveTo(new Endpoint("127.0.0.1", elsewhere)));
+        assertEquals(second.get(20, TimeUnit.SECONDS), "/v1/endpoints?since=3&timeout_ms=10000");
+        assertTrue(answeredLate.isDone());
+        assertEquals(List.copyOf(told), List.of("s-1 UP", "s-1 DRAINING"));
+    }
+
+    private int serve(io.vertx.core.Handler<HttpServerRequest> calls) throws Exception {
+        return vertx.createHttpServer().requestHandler(calls).listen(0, "127.0.0.1").toCompletionStage()
+                .toCompletableFuture().get(20, TimeUnit.SECONDS).actualPort();
+    }
+
+    private DiscoveryWatch watch(int port, DiscoveryWatch.Pace pace, DiscoveryWatch.Listener listener) throws Exception {
+        CompletableFuture<DiscoveryWatch> watch = new CompletableFuture<>();
+        vertx.runOnContext(start -> {
+            watch.complete(new DiscoveryWatch(vertx, new Endpoint("127.0.0.1", port), pace, listener));
+            watch.join().start();
+        });
+        return watch.get(20, TimeUnit.SECONDS);
+    }
+
     @Test
     public void aRefusedCallIsMadeAgainAfterAGrowingWaitAndAnAnsweredOneAtOnce() throws Exception {
         assertEquals(calls(DiscoveryWatch.NO_INDEX), List.of("/v1/endpoints", "waits", "/v1/endpoints",
@@ -113,7 +202,7 @@
         Queue<AppNode> nodes = new ConcurrentLinkedQueue<>();
         CompletableFuture<Void> first = new CompletableFuture<>();
         vertx.runOnContext(start -> new DiscoveryWatch(vertx, new Endpoint("127.0.0.1", port),
-                new DiscoveryWatch.Pace(20_000, 1, waits),
+                new DiscoveryWatch.Pace(10_000, 20_000, 1, waits),
                 (whole, lines) -> nodes.addAll(lines)).startFrom(known).onSuccess(first::complete));
         over.get(20, TimeUnit.SECONDS);
         assertTrue(first.isDone());
--- a/mqtt/src/test/java/opalcove/ExchangeTest.java
+++ b/mqtt/src/test/java/opalcove/ExchangeTest.java
@@ -49,7 +49,7 @@
  * {@code PARTY > bytes} (the party sends), {@code PARTY >> bytes} (byte by byte), {@code PARTY < bytes} (the party
  * receives just these; {n} stands for digits, {any} for anything), {@code PARTY closed} (sees the end of its
  * connection), {@code PARTY close}, {@code list NODE STATE POD ...}, {@code node NODE refuses}, {@code discovery}
- * (the gateway follows it from now on), {@code stall MS} (from now on the event loop is held up for so long),
+ * (the gateway follows it from now on, as an agent's pushed list; {@code discovery asked}: as a service's), {@code stall MS} (from now on the event loop is held up for so long),
  * {@code counters A=1 B=2} (the figures come to be so), {@code phase NAME} or {@code stopped} (the front has drained). A party is
  * {@code terminal/1}, {@code mqtt-terminal/1} or, for the first connection to a node, {@code n1/1}; nodes whose names
  * begin with m are MQTT servers. The bytes of MQTT parties
@@ -146,8 +146,8 @@
             switch (words[0]) {
                 case "list" -> list(line.split(" "));
                 case "node" -> node(words[1]).close();
-                case "discovery" -> onLoop(() -> new DiscoveryWatch(vertx, discovery, Facts.settings(),
-                        new SplittableRandom(1), gateway::nodesTold).start());
+                case "discovery" -> onLoop(() -> new DiscoveryWatch(vertx, discovery, words.length == 1 ? Facts.settings()
+                        : Facts.settingsOfAListThatIsAskedFor(), new SplittableRandom(1), gateway::nodesTold).start());
                 case "phase" -> onLoop(() -> {
                     phases.enter(Phases.Phase.valueOf(words[1]));
                     front.drain(() -> mqttFront.drain(() -> stopped.complete(null)));
