--- a/gateway/src/main/java/opalcove/platform/RespFront.java
+++ b/gateway/src/main/java/opalcove/platform/RespFront.java
@@ -44,6 +44,14 @@
     /** How long a connection is not read after a command that was an error, ms; longer with each of them. */
     private static final long PENALTY_MS = 50;
     private static final int MOST_PENALTIES = 20;
+    /**
+     * How often a connection that is not read is looked at while it is owed answers, ms: that its terminal has left shows
+     * only in what is read, and what waits for an app node is not to be sent on for nobody.
+     */
+    private static final long LOOK_MS = 100;
+    /** What such looks may bring and is kept till the connection is read again, bytes: of one, and of all together. */
+    private static final int MOST_BEHIND = 256 * 1024;
+    private static final int MOST_BEHIND_ALL = 2 * 1024 * 1024;
     /** Connections that may turn out to be in use before a new one is turned away for want of room. */
     private static final int MOST_LOOKS = 16;
     /**
@@ -68,6 +76,11 @@
     private Runnable whenEmpty = () -> { };
     /** Told by an operator: PING says no, and each connection is closed once it owes nothing. */
     private boolean sendingAway;
+    /** Connections that are not read for now. */
+    private final Set<Terminal> unread = new HashSet<>();
+    private boolean looking;
+    /** Bytes that were read of those and not looked into. */
+    private int behindAll;
     /** Draining, and connections that were made before may still be handed over. */
     private boolean coming;
 
@@ -127,6 +140,15 @@
         return false;
     }
 
+    /** Sees which of the connections that are not read have ended. */
+    private void lookAtUnread() {
+        List.copyOf(unread).forEach(Terminal::lookWhetherThere);
+        looking = !unread.isEmpty();
+        if (looking) {
+            vertx.setTimer(LOOK_MS, due -> lookAtUnread());
+        }
+    }
+
     /** Opens the front; gives the port. */
     public Future<Integer> listen(Endpoint at) {
         return listen(SocketAddress.inetSocketAddress(at.port(), at.address())).map(NetServer::actualPort);
@@ -291,6 +313,10 @@
         private boolean penalised;
         private boolean closing;
         private long partedAt;
+        /** What was read and not looked into while this connection is not read; null for nothing. */
+        private ByteBuf behind;
+        /** All that lies unread is looked into now, paused or not. */
+        private boolean readsAll;
 
         Terminal(NetSocket socket) {
             this.socket = socket;
@@ -302,7 +328,37 @@
         @Override
         public void read(ByteBuf bytes) {
             lastRead = System.nanoTime();
-            reader.take(bytes);
+            if (!paused || readsAll || closing) {
+                reader.take(bytes);
+                return;
+            }
+            if (behind == null) {
+                behind = raw.aside(bytes.readableBytes());
+            }
+            behindAll += bytes.readableBytes();
+            behind.writeBytes(bytes);
+            bytes.release();
+        }
+
+        /** Reads on with what was read while the connection was not. */
+        private void takeBehind() {
+            ByteBuf bytes = behind;
+            if (bytes != null) {
+                behind = null;
+                behindAll -= bytes.readableBytes();
+                reader.take(bytes);
+            }
+        }
+
+        /**
+         * That a terminal has left shows in no other way than behind all that it sent. What is read for that is kept, within
+         * limits; of what is no command nothing is.
+         */
+        void lookWhetherThere() {
+            boolean room = behindAll < MOST_BEHIND_ALL && (behind == null || behind.readableBytes() < MOST_BEHIND);
+            if (!slots.isEmpty() && (closing || room)) {
+                raw.readNow();
+            }
         }
 
         /** A command has come. */
@@ -478,6 +534,11 @@
             if (!paused) {
                 paused = true;
                 raw.reads(false);
+                unread.add(this);
+                if (!looking) {
+                    looking = true;
+                    vertx.setTimer(LOOK_MS, due -> lookAtUnread());
+                }
             }
         }
 
@@ -493,7 +554,12 @@
         private void resumeIfDrained() {
             if (paused && !penalised && !closing && slots.size() < MOST_PIPELINED / 2 && raw.isWritable()) {
                 paused = false;
-                raw.reads(true);
+                unread.remove(this);
+                takeBehind();
+                // What came meanwhile may have it wait again.
+                if (!paused) {
+                    raw.reads(true);
+                }
             }
         }
 
@@ -525,7 +591,10 @@
          */
         boolean partIfQuiet() {
             if (!closing) {
+                readsAll = true;
+                takeBehind();
                 raw.readNow();
+                readsAll = false;
             }
             // Half a command whose bytes still come is a request on its way; one that stands still is a stalled terminal.
             boolean onItsWay = reader.within() && System.nanoTime() - lastRead < TimeUnit.MILLISECONDS.toNanos(REST_MS);
@@ -542,9 +611,7 @@
          * connection end first, may have asked again elsewhere.
          */
         private void part() {
-            closing = true;
-            reader.stop();
-            terminals.remove(this);
+            end();
             if (farewells.size() >= mostFarewells) {
                 farewells.iterator().next().socket.close();
             }
@@ -553,10 +620,21 @@
             raw.closeOutput();
         }
 
-        private void gone() {
+        /** Nothing that comes is looked into any more. */
+        private void end() {
             closing = true;
             reader.stop();
             terminals.remove(this);
+            unread.remove(this);
+            if (behind != null) {
+                behindAll -= behind.readableBytes();
+                behind.release();
+                behind = null;
+            }
+        }
+
+        private void gone() {
+            end();
             farewells.remove(this);
             dropSlots();
             checkEmpty();
--- /dev/null
+++ b/gateway/src/test/java/opalcove/platform/Stage.java
@@ -0,0 +1,388 @@
+package opalcove.platform;
+
+import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertNotNull;
+import static org.testng.Assert.assertTrue;
+
+import io.netty.buffer.ByteBuf;
+import io.vertx.core.Future;
+import io.vertx.core.Promise;
+import io.vertx.core.Vertx;
+import java.io.Closeable;
+import java.io.IOException;
+import java.io.InputStream;
+import java.net.InetAddress;
+import java.net.ServerSocket;
+import java.net.Socket;
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.BlockingQueue;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.LinkedBlockingQueue;
+import java.util.concurrent.TimeUnit;
+import java.util.function.Supplier;
+import opalcove.Facts;
+import opalcove.decision.Admission;
+import opalcove.gateway.Answer;
+import opalcove.gateway.AppNode;
+import opalcove.gateway.Ask;
+import opalcove.gateway.Clock;
+import opalcove.gateway.Endpoint;
+import opalcove.gateway.Fields;
+import opalcove.gateway.Gateway;
+import opalcove.gateway.LinkPool;
+import opalcove.gateway.Phases;
+import opalcove.gateway.Program;
+import opalcove.gateway.SettingsReader;
+
+/**
+ * A gateway on loopback sockets between terminals and app nodes of a test, which hold and release bytes, links and the
+ * event loop itself on command: so the order in which two events meet is the test's, every time.
+ */
+final class Stage implements Closeable {
+    static final int PATIENCE_S = 20;
+    static final String PING = "*1\r\n$4\r\nPING\r\n";
+
+    final Vertx vertx = Program.eventLoop();
+    final Phases phases = new Phases();
+    final Gateway gateway;
+    final RespFront front;
+    private final int port;
+    private final List<Closeable> open = new ArrayList<>();
+    /** Links that are up and not handed over yet; null where links are handed over at once. */
+    private BlockingQueue<Runnable> withheld;
+
+    /** Starts with the settings of the tests, changed by pairs of a text and what is in its place. */
+    Stage(String... changes) throws Exception {
+        String json = Facts.JSON.replace("\"max_open\":4", "\"max_open\":1000");
+        for (int i = 0; i < changes.length; i += 2) {
+            assertTrue(json.contains(changes[i]), changes[i]);
+            json = json.replace(changes[i], changes[i + 1]);
+        }
+        Admission.Settings settings = SettingsReader.checked(Fields.parse(json));
+        CompletableFuture<Integer> listening = new CompletableFuture<>();
+        CompletableFuture<Object[]> parts = new CompletableFuture<>();
+        vertx.runOnContext(start -> {
+            LinkPool.Dialler sockets = new RespDialler(vertx, settings);
+            LinkPool links = new LinkPool(vertx, settings, address -> withhold(sockets.dial(address)), 64);
+            Gateway core = new Gateway(vertx, new Clock(), settings, 1, links);
+            phases.enter(Phases.Phase.SERVING);
+            RespFront resp = new RespFront(vertx, core, phases, 64);
+            parts.complete(new Object[] {core, resp});
+            resp.listen(new Endpoint("127.0.0.1", 0)).onSuccess(listening::complete);
+        });
+        Object[] made = parts.get(PATIENCE_S, TimeUnit.SECONDS);
+        gateway = (Gateway) made[0];
+        front = (RespFront) made[1];
+        port = listening.get(PATIENCE_S, TimeUnit.SECONDS);
+    }
+
+    @Override
+    public void close() throws IOException {
+        for (Closeable each : open) {
+            each.close();
+        }
+        vertx.close();
+    }
+
+    // Links that come up late.
+
+    private Future<LinkPool.Line> withhold(Future<LinkPool.Line> line) {
+        if (withheld == null) {
+            return line;
+        }
+        Promise<LinkPool.Line> handed = Promise.promise();
+        BlockingQueue<Runnable> queue = withheld;
+        line.onComplete(up -> queue.add(() -> line.onComplete(handed)));
+        return handed.future();
+    }
+
+    /** From now on links come up when the test lets them. */
+    void withholdLinks() throws Exception {
+        onLoop(() -> withheld = new LinkedBlockingQueue<>());
+    }
+
+    /** Waits for a link that is up and was not handed over; it is handed over by {@link #handOver}. */
+    Runnable linkUp() throws Exception {
+        Runnable link = withheld.poll(PATIENCE_S, TimeUnit.SECONDS);
+        assertNotNull(link, "no link was dialled");
+        return link;
+    }
+
+    /** Hands a link over; what is written to it has left when this returns. */
+    void handOver(Runnable link) throws Exception {
+        onLoop(link);
+        onLoop(() -> { });
+    }
+
+    // The loop.
+
+    <T> T onLoop(Supplier<T> work) throws Exception {
+        CompletableFuture<T> done = new CompletableFuture<>();
+        vertx.runOnContext(run -> {
+            try {
+                done.complete(work.get());
+            } catch (Throwable e) {
+                done.completeExceptionally(e);
+            }
+        });
+        return done.get(PATIENCE_S, TimeUnit.SECONDS);
+    }
+
+    void onLoop(Runnable work) throws Exception {
+        onLoop(() -> {
+            work.run();
+            return null;
+        });
+    }
+
+    /** What a test does to sockets. */
+    interface Deed {
+        void run() throws Exception;
+    }
+
+    /**
+     * Holds the loop up while the test does something to its sockets, and has the loop do the other thing before it reads
+     * any socket again: so the second is done by a gateway that has not read the first, though the kernel has it.
+     */
+    void unread(Deed first, Runnable second) throws Exception {
+        CountDownLatch held = new CountDownLatch(1);
+        CountDownLatch goOn = new CountDownLatch(1);
+        CompletableFuture<Void> done = new CompletableFuture<>();
+        vertx.runOnContext(hold -> {
+            held.countDown();
+            try {
+                goOn.await(PATIENCE_S, TimeUnit.SECONDS);
+                second.run();
+                done.complete(null);
+            } catch (Throwable e) {
+                done.completeExceptionally(e);
+            }
+        });
+        assertTrue(held.await(PATIENCE_S, TimeUnit.SECONDS));
+        first.run();
+        goOn.countDown();
+        done.get(PATIENCE_S, TimeUnit.SECONDS);
+    }
+
+    /** A figure of the gateway's. */
+    int figure(String name) throws Exception {
+        String lines = onLoop(gateway::figures);
+        return Integer.parseInt(lines.lines().filter(line -> line.startsWith(name + "=")).findFirst().orElseThrow()
+                .substring(name.length() + 1));
+    }
+
+    /** Waits till a figure is this. */
+    void until(String name, int figure) throws Exception {
+        long end = System.nanoTime() + TimeUnit.SECONDS.toNanos(PATIENCE_S);
+        int now = figure(name);
+        while (now != figure && System.nanoTime() < end) {
+            Thread.sleep(1);
+            now = figure(name);
+        }
+        assertEquals(now, figure, name);
+    }
+
+    // App nodes.
+
+    Node node(String name) throws Exception {
+        Node node = new Node(name);
+        open.add(node);
+        return node;
+    }
+
+    void told(AppNode... lines) throws Exception {
+        onLoop(() -> gateway.nodesTold(true, List.of(lines)));
+    }
+
+    /** An app node. What its lines bring waits until the test looks; what they send is what the test says. */
+    static final class Node implements Closeable {
+        final String name;
+        private final List<Line> quiet = new ArrayList<>();
+        private final ServerSocket server = new ServerSocket(0, 64, InetAddress.getLoopbackAddress());
+
+        Node(String name) throws Exception {
+            this.name = name;
+            server.setSoTimeout(PATIENCE_S * 1000);
+        }
+
+        AppNode is(Admission.State state) {
+            return is(state, 0);
+        }
+
+        AppNode is(Admission.State state, int cell) {
+            return new AppNode(new Admission.Host(name, "room-a", "app", cell, state, 1, 0),
+                    "127.0.0.1:" + server.getLocalPort());
+        }
+
+        Line accept() throws Exception {
+            return new Line(server.accept());
+        }
+
+        /** The line on which a command comes next, of all those that were not told by this call before. */
+        Line withCommand() throws Exception {
+            long end = System.nanoTime() + TimeUnit.SECONDS.toNanos(PATIENCE_S);
+            server.setSoTimeout(1);
+            try {
+                while (System.nanoTime() < end) {
+                    for (Line each : quiet) {
+                        if (each.socket.getInputStream().available() > 0) {
+                            quiet.remove(each);
+                            return each;
+                        }
+                    }
+                    try {
+                        quiet.add(accept());
+                    } catch (java.net.SocketTimeoutException none) {
+                        continue;
+                    }
+                }
+            } finally {
+                server.setSoTimeout(PATIENCE_S * 1000);
+            }
+            throw new AssertionError(name + " got no command");
+        }
+
+        /** Whether no line waits to be accepted that brings a byte; those that end without one are passed over. */
+        boolean gotNothing() throws Exception {
+            server.setSoTimeout(1);
+            try {
+                while (true) {
+                    try (Socket line = server.accept()) {
+                        line.setSoTimeout(200);
+                        if (line.getInputStream().read() >= 0) {
+                            return false;
+                        }
+                    }
+                }
+            } catch (java.net.SocketTimeoutException e) {
+                return true;
+            } finally {
+                server.setSoTimeout(PATIENCE_S * 1000);
+            }
+        }
+
+        @Override
+        public void close() throws IOException {
+            server.close();
+        }
+    }
+
+    /** A node's end of a link. */
+    static final class Line {
+        final Socket socket;
+        private final InputStream in;
+
+        Line(Socket socket) throws Exception {
+            this.socket = socket;
+            socket.setSoTimeout(PATIENCE_S * 1000);
+            in = socket.getInputStream();
+        }
+
+        /** The next command, its words with spaces between. */
+        String command() throws Exception {
+            String head = line(in);
+            assertTrue(head.startsWith("*"), head);
+            StringBuilder words = new StringBuilder();
+            for (int i = Integer.parseInt(head.substring(1)); i > 0; i--) {
+                int length = Integer.parseInt(line(in).substring(1));
+                words.append(new String(in.readNBytes(length), StandardCharsets.ISO_8859_1)).append(' ');
+                in.readNBytes(2);
+            }
+            return words.toString().strip();
+        }
+
+        void serve(String value) throws Exception {
+            say("*3\r\n$" + value.length() + "\r\n" + value + "\r\n$-1\r\n$-1\r\n");
+        }
+
+        void say(String bytes) throws Exception {
+            socket.getOutputStream().write(bytes.getBytes(StandardCharsets.ISO_8859_1));
+        }
+
+        /** Whether the gateway has ended the line with nothing more on it. */
+        boolean ended() throws Exception {
+            try {
+                return in.read() < 0;
+            } catch (java.net.SocketException reset) {
+                return true;
+            }
+        }
+
+        void reset() throws Exception {
+            socket.setSoLinger(true, 0);
+            socket.close();
+        }
+    }
+
+    // Terminals.
+
+    Socket terminal() throws Exception {
+        Socket terminal = new Socket(InetAddress.getLoopbackAddress(), port);
+        terminal.setSoTimeout(PATIENCE_S * 1000);
+        open.add(terminal);
+        return terminal;
+    }
+
+    static void say(Socket terminal, String bytes) throws Exception {
+        terminal.getOutputStream().write(bytes.getBytes(StandardCharsets.ISO_8859_1));
+    }
+
+    /** The next answer: a line, or a string's value. */
+    static String answer(Socket terminal) throws Exception {
+        String line = line(terminal.getInputStream());
+        if (!line.startsWith("$")) {
+            return line;
+        }
+        String value = new String(terminal.getInputStream().readNBytes(Integer.parseInt(line.substring(1))),
+                StandardCharsets.ISO_8859_1);
+        terminal.getInputStream().readNBytes(2);
+        return value;
+    }
+
+    private static String line(InputStream in) throws Exception {
+        StringBuilder line = new StringBuilder();
+        for (int each = in.read(); each != '\n'; each = in.read()) {
+            if (each < 0) {
+                throw new java.io.EOFException("the connection ended after " + line);
+            }
+            line.append((char) each);
+        }
+        return line.substring(0, line.length() - 1);
+    }
+
+    static String id(int number) {
+        return String.format("%016x", number);
+    }
+
+    /** An ask that may be repeated. */
+    static String query(int number, int waitMs) {
+        return words("SVC.QUERY", "00000000000000b2", id(number),
+                "c=slot-status,t=start,d=" + waitMs + ",units=1,spread=1,first=0");
+    }
+
+    /** An ask with an effect, with a key where its class has one. */
+    static String submit(int number, int waitMs, String key) {
+        return words("SVC.SUBMIT", "00000000000000b2", id(number), "c=swap-record,t=start,d=" + waitMs
+                + (key == null ? "" : ",k=" + key) + ",units=1,spread=1,first=0", "body");
+    }
+
+    static String words(String... words) {
+        StringBuilder command = new StringBuilder("*" + words.length + "\r\n");
+        for (String word : words) {
+            command.append('$').append(word.length()).append("\r\n").append(word).append("\r\n");
+        }
+        return command.toString();
+    }
+
+    /** Has the gateway serve an ask from within the loop; the answer's text is added to the list. */
+    void serve(int number, int waitMs, BlockingQueue<String> answers) {
+        gateway.serve(new Ask(id(number), "00000000000000b2", "slot-status", "start", 1, waitMs, null, false, 1, 0, null),
+                answer -> {
+                    ByteBuf value = answer instanceof Answer.Served served ? served.value() : null;
+                    answers.add(value == null ? answer.toString() : value.toString(StandardCharsets.ISO_8859_1));
+                });
+    }
+}
