--- a/gateway/src/main/java/opalcove/gateway/Ask.java
+++ b/gateway/src/main/java/opalcove/gateway/Ask.java
@@ -10,6 +10,12 @@
  */
 public record Ask(String id, String operator, String requestClass, String plan, double units, double waitMs, String key,
                   boolean retry, int gateways, int firstGateway, ByteBuf body) {
+    /** The same ask of a terminal that waits so long. */
+    Ask waiting(double ms) {
+        return ms == waitMs ? this
+                : new Ask(id, operator, requestClass, plan, units, ms, key, retry, gateways, firstGateway, body);
+    }
+
     /** The units as a text, without a point where they are whole. */
     public String unitsText() {
         return units == Math.rint(units) ? Long.toString((long) units) : Double.toString(units);
--- a/gateway/src/main/java/opalcove/gateway/Counters.java
+++ b/gateway/src/main/java/opalcove/gateway/Counters.java
@@ -15,6 +15,7 @@
     long guarded;
     long overdue;
     long cancelled;
+    long lapsed;
     private final long[] ends = new long[Admission.Result.values().length];
 
     void ended(Admission.Result result) {
@@ -31,6 +32,7 @@
             line(text, "attempts_" + each.name().toLowerCase(Locale.ROOT), ends[each.ordinal()]);
         }
         line(text, "given_up", cancelled);
+        line(text, "lapsed_while_dialled", lapsed);
         line(text, "served", served);
         line(text, "refused", refused);
         line(text, "failed", failed);
--- a/gateway/src/main/java/opalcove/gateway/Gateway.java
+++ b/gateway/src/main/java/opalcove/gateway/Gateway.java
@@ -28,6 +28,8 @@
     private static final double ANSWER_MARGIN_MS = 25;
     /** The last moment for a final answer should the module give none, ms before the terminal gives up. */
     private static final double GUARD_MARGIN_MS = 5;
+    /** Less than so much time before the process is ended is too little to serve an ask in, ms. */
+    private static final double LEAST_WAIT_MS = 100;
     /** How often the nodes that are avoided are counted, ms: figures may lag by twice that. */
     private static final double AVOIDED_MS = 250;
 
@@ -46,6 +48,9 @@
     private int retunes;
     private Generation current;
     private boolean inTurn;
+    /** When the process will be ended at the earliest. */
+    private double endsAt = Double.MAX_VALUE;
+    private Runnable whenNoneOpen;
     private Runnable beforeEachAsk;
 
     public Gateway(Vertx vertx, Clock clock, Admission.Settings settings, long seed, NodeLinks links) {
@@ -125,6 +130,9 @@
     public interface UnderWay {
         /** Its terminal has left and is owed nothing any more. */
         void leave();
+
+        /** Another ask's answer waits for its own: it, too, ends before the process is ended. */
+        void hurry();
     }
 
     /**
@@ -153,7 +161,12 @@
             return answerAtOnce(asker, requestClass.name(),
                     new Answer.Refused((long) current.settings.limits().maxRetryAfterMs()));
         }
-        Life life = take(ask, requestClass, asker);
+        double left = endsAt - clock.now();
+        if (left < LEAST_WAIT_MS) {
+            // Guards an ask that comes late in the end against being taken and never answered.
+            return answerAtOnce(asker, requestClass.name(), new Answer.Refused(0));
+        }
+        Life life = take(ask.waiting(Math.min(ask.waitMs(), left)), requestClass, asker);
         askModule(life);
         return life.over ? null : life;
     }
@@ -222,6 +235,16 @@
                 : left, attempt);
     }
 
+    /** A link has come up for the attempt: whether what was decided when it was dialled still holds. */
+    boolean stillWanted(Life life, Life.Try attempt) {
+        String lapsed = guards.lapsed(life, attempt, clock.now());
+        if (lapsed != null) {
+            counters.lapsed++;
+            Logger.info("{} is not sent on after all: {}", life.ask.id(), lapsed);
+        }
+        return lapsed == null;
+    }
+
     /**
      * A long value has begun to come. It is the final answer, for what was passed on cannot be taken back: to the module
      * the attempt is served now, whatever time the terminal takes to read, and its figures follow at the end.
@@ -260,7 +283,9 @@
             passed(life, end);
             return;
         }
-        tellEnd(life, attempt, attempt.node.name(), end);
+        // Guards a node against blame for a link that only had no time to come up: its terminal left meanwhile.
+        boolean blameless = life.left && end.result() == Admission.Result.UNREACHABLE;
+        tellEnd(life, attempt, attempt.node.name(), blameless ? NodeEnd.silent(Admission.Result.NOT_SENT) : end);
     }
 
     /** Tells the module how an attempt ended. A served value is final; else the module's next step follows. */
@@ -281,9 +306,21 @@
         });
     }
 
-    /** Guards the promise of one answer in time against a module that holds an ask too long. */
+    /**
+     * Guards the promise of one answer in time against a module that holds an ask too long. Also ends the waiting for an
+     * attempt that outlasts its ask, where the settings let none be called off: its node may never answer.
+     */
     void overdue(Life life) {
         if (life.over) {
+            List.copyOf(life.tries).stream().filter(attempt -> attempt.result == null).forEach(late -> {
+                counters.cancelled++;
+                late.running.giveUp();
+            });
+            return;
+        }
+        if (life.hurried) {
+            end(life, () -> follow(life, new Life.Step.Final(guards.mayRefuse(life) ? new Answer.Refused(0)
+                    : new Answer.Failed("the gateway ends"))));
             return;
         }
         counters.overdue++;
@@ -291,11 +328,20 @@
         end(life, () -> follow(life, new Life.Step.Final(new Answer.Failed("deadline"))));
     }
 
+    void hurry(Life life) {
+        if (!life.over && life.passing == null && life.takenAt + life.ask.waitMs() > endsAt) {
+            life.hurried = true;
+            alarms.cancel(life.deadline());
+            alarms.setAt(endsAt - GUARD_MARGIN_MS, life.deadline());
+        }
+    }
+
     void leave(Life life) {
         if (life.over) {
             return;
         }
         counters.left++;
+        life.left = true;
         if (life.passing != null) {
             life.passing.attempt().running.giveUp();
             return;
@@ -317,11 +363,37 @@
     }
 
     private void close(Life life) {
-        alarms.cancel(life.deadline());
         if (lives.remove(life.ask.id(), life)) {
             life.generation.open--;
         }
         metrics.inflight(lives.size());
+        if (lives.isEmpty() && whenNoneOpen != null) {
+            // Not within the turn that writes the last answer.
+            turns.add(whenNoneOpen);
+            whenNoneOpen = null;
+        }
+    }
+
+    /** Nothing of it is out any more. */
+    void settled(Life life) {
+        alarms.cancel(life.deadline());
+    }
+
+    /**
+     * The process will be ended so many ms from now: an ask that is taken from here on gets its answer before that, and one
+     * for which there is no time left is refused at once.
+     */
+    public void answersWithin(double ms) {
+        endsAt = clock.now() + ms;
+    }
+
+    /** Runs the action once no ask is open, be it now. */
+    public void whenNoneOpen(Runnable action) {
+        if (lives.isEmpty()) {
+            action.run();
+        } else {
+            whenNoneOpen = action;
+        }
     }
 
     private void count(String requestClass, Answer answer) {
@@ -388,6 +460,13 @@
                 + links.resting() + "\n";
     }
 
+    /** The longest that an ask may wait, under the newest settings and those that open asks were taken under, ms. */
+    public long longestDeadlineMs() {
+        generations.removeIf(Generation::done);
+        return (long) generations.stream().flatMap(each -> each.settings.classes().stream())
+                .mapToDouble(Admission.RequestClass::deadlineMs).max().orElse(0);
+    }
+
     /** The newest settings. */
     public Admission.Settings settings() {
         return current.settings;
--- a/gateway/src/main/java/opalcove/gateway/Guards.java
+++ b/gateway/src/main/java/opalcove/gateway/Guards.java
@@ -33,7 +33,23 @@
         if (life.tries.size() >= mostAttempts) {
             return "it has had all its attempts";
         }
+        return objectionToRepeat(life, life.ranFirst(), target, now);
+    }
+
+    /** Why an attempt that was decided on may not be written any more, or null where it may. */
+    String lapsed(Life life, Life.Try attempt, double now) {
+        if (life.over) {
+            return "it is over";
+        }
+        AppNode target = nodes.open(attempt.node.name());
+        if (target == null || !target.address().equals(attempt.node.address())) {
+            return "the node list does not offer " + attempt.node.name() + " there any more";
+        }
         Life.Try first = life.ranFirst();
+        return objectionToRepeat(life, first == attempt ? null : first, target, now);
+    }
+
+    private static String objectionToRepeat(Life life, Life.Try first, AppNode target, double now) {
         Admission.RequestClass c = life.requestClass;
         if (first == null || c.effect() == Admission.Effect.SAFE) {
             return null;
--- a/gateway/src/main/java/opalcove/gateway/Life.java
+++ b/gateway/src/main/java/opalcove/gateway/Life.java
@@ -41,6 +41,11 @@
             return gateway.valueBegan(Life.this, this, value);
         }
 
+        @Override
+        public boolean stillWanted() {
+            return gateway.stillWanted(Life.this, this);
+        }
+
         @Override
         public void ended(NodeEnd end) {
             gateway.attemptEnded(Life.this, this, end);
@@ -56,6 +61,10 @@
     /** The long value that is being passed on: the ask is bound to its attempt, and its deadline has been met. */
     Passing passing;
     boolean over;
+    /** Its terminal left before it was over. */
+    boolean left;
+    /** It ends with the process: an ask that came after it may not wait longer. */
+    boolean hurried;
     private final Gateway gateway;
     private final Gateway.Asker asker;
     private final Alarms.Alarm deadline;
@@ -87,6 +96,11 @@
         gateway.leave(this);
     }
 
+    @Override
+    public void hurry() {
+        gateway.hurry(this);
+    }
+
     /** Hands a long value on; tells whether the terminal's side takes it. */
     boolean pass(Try attempt, LongValue begun) {
         if (over || passing != null || attempt.result != null || !asker.passes(begun)) {
@@ -109,6 +123,7 @@
     void settleIfDone() {
         if (over && !settled && !attemptOut()) {
             settled = true;
+            gateway.settled(this);
             asker.settled();
         }
     }
--- a/gateway/src/main/java/opalcove/gateway/LinkPool.java
+++ b/gateway/src/main/java/opalcove/gateway/LinkPool.java
@@ -45,6 +45,14 @@
         /** Names who hears of what comes of this line. */
         void attach(User user);
 
+        /**
+         * Whether the connection is still there, having read what has come of it. What its node has done (closed it, sent
+         * more than it was asked for) may not have been read in this turn yet.
+         */
+        default boolean isThere() {
+            return true;
+        }
+
         /** Sends an attempt, by the end of this turn of the event loop. */
         void send(Ask ask, double waitMs);
 
@@ -101,8 +109,9 @@
             shelf = new Shelf();
             shelves.put(node.name(), shelf);
         }
-        if (!shelf.idle.isEmpty()) {
-            attempt.sendOn(shelf.idle.pollFirst());
+        Link rested = shelf.take();
+        if (rested != null) {
+            attempt.sendOn(rested);
         } else if (links >= most) {
             // Guards the descriptors that terminals need.
             attempt.finish(NodeEnd.silent(Admission.Result.UNREACHABLE));
@@ -231,6 +240,18 @@
     private static final class Shelf {
         final Deque<Link> idle = new ArrayDeque<>();
         boolean open = true;
+
+        /**
+         * A line for an attempt, or null. Guards the attempt against a line that its node has closed meanwhile, and against
+         * a second answer to the attempt before, which would be taken for its own: neither may have been read yet.
+         */
+        Link take() {
+            Link link = idle.pollFirst();
+            while (link != null && !link.line.isThere()) {
+                link = idle.pollFirst();
+            }
+            return link;
+        }
     }
 
     /** A line and the attempt that it carries. */
@@ -320,8 +341,11 @@
         }
 
         void dialled(Link fresh) {
-            if (givenUp) {
+            // Guards what has changed while the link came up: its node was drained or has moved, its terminal left or got
+            // its answer, its repeat window is over.
+            if (givenUp || !waiting.stillWanted()) {
                 fresh.rest();
+                finish(NodeEnd.silent(Admission.Result.NOT_SENT));
             } else {
                 sendOn(fresh);
             }
--- a/gateway/src/main/java/opalcove/gateway/NodeLinks.java
+++ b/gateway/src/main/java/opalcove/gateway/NodeLinks.java
@@ -18,6 +18,14 @@
             return false;
         }
 
+        /**
+         * Asked when a link has come up, right before anything is written to it: whether the attempt is still to be made.
+         * Where it is not, it ends as not sent.
+         */
+        default boolean stillWanted() {
+            return true;
+        }
+
         /**
          * Comes once, perhaps before the call that starts the attempt has returned. A value is lent: it holds for the
          * time of this call, and who keeps it copies it.
--- a/gateway/src/main/java/opalcove/gateway/Program.java
+++ b/gateway/src/main/java/opalcove/gateway/Program.java
@@ -7,7 +7,7 @@
 import io.vertx.core.internal.VertxBootstrap;
 import java.util.concurrent.CountDownLatch;
 import java.util.function.Consumer;
-import opalcove.decision.Admission;
+import java.util.function.Supplier;
 import opalcove.gateway.Phases.Phase;
 import opalcove.loop.PatientTransport;
 import org.tinylog.Logger;
@@ -20,6 +20,17 @@
     /** How long the front may go on sending new connections after it was told that this gateway leaves, ms. */
     private static final long LEAVING_MS = 500;
 
+    /**
+     * The platform kills a process no sooner than so long after SIGTERM: the longest deadline, of which no more than this
+     * counts, and this much more.
+     */
+    private static final long LONGEST_END_MS = 3000;
+    private static final long END_GRACE_MS = 700;
+    /** How much earlier the last answers are given, ms: the word to end may have come late, and answers take their way. */
+    private static final long END_MARGIN_MS = 200;
+    /** Time for the last answer to leave the process, ms. */
+    private static final long LAST_WORDS_MS = 50;
+
     private final Vertx vertx = eventLoop();
     private final Phases phases = new Phases();
     private final CountDownLatch stopped = new CountDownLatch(1);
@@ -51,9 +62,13 @@
         return phases;
     }
 
-    /** Takes asks in once the front listens; a program that cannot listen ends with 1. */
-    public void open(Future<Integer> listening) {
-        listening.onSuccess(port -> phases.enter(Phase.SERVING)).onFailure(e -> {
+    /** Opens the front and takes asks in once it listens; a program that cannot listen ends with 1. */
+    public void open(Supplier<Future<Integer>> listen) {
+        if (phases.now() != Phase.STARTING) {
+            // It was told to end meanwhile. Guards clients against a front that opens then: what they send is lost.
+            return;
+        }
+        listen.get().onSuccess(port -> phases.enter(Phase.SERVING)).onFailure(e -> {
             Logger.error("cannot listen: {}", e.getMessage());
             Runtime.getRuntime().halt(1);
         });
@@ -65,9 +80,11 @@
             switch (phase) {
                 case LEAVING -> vertx.setTimer(LEAVING_MS, due -> phases.enter(Phase.DRAINING));
                 case DRAINING -> {
+                    gateway.answersWithin(answersWithinMs(gateway.longestDeadlineMs()));
                     drain.accept(() -> phases.enter(Phase.STOPPED));
-                    // Guards the end against a terminal that reads no answer: by then none is owed any more.
-                    vertx.setTimer(longestWait(gateway) + LEAVING_MS, due -> phases.enter(Phase.STOPPED));
+                    // Guards the end against a terminal that reads no answer: one that is owed an answer gets it first.
+                    vertx.setTimer(gateway.longestDeadlineMs() + LEAVING_MS,
+                            due -> gateway.whenNoneOpen(() -> vertx.setTimer(LAST_WORDS_MS, left -> phases.enter(Phase.STOPPED))));
                 }
                 case STOPPED -> {
                     Logger.info("counters\n{}", gateway.figures());
@@ -78,9 +95,9 @@
         });
     }
 
-    private static long longestWait(Gateway gateway) {
-        return (long) gateway.settings().classes().stream().mapToDouble(Admission.RequestClass::deadlineMs).max()
-                .orElse(0);
+    /** From the end of leaving on: how long what is taken from there on may wait for its answer. */
+    public static long answersWithinMs(long longestDeadlineMs) {
+        return Math.max(0, Math.min(longestDeadlineMs, LONGEST_END_MS) + END_GRACE_MS - END_MARGIN_MS - LEAVING_MS);
     }
 
     /** SIGTERM: what is taken is answered first; then the program has ended well. */
--- a/gateway/src/main/java/opalcove/platform/RawSocket.java
+++ b/gateway/src/main/java/opalcove/platform/RawSocket.java
@@ -123,6 +123,10 @@
         }
     }
 
+    boolean isOpen() {
+        return channel.channel().isActive();
+    }
+
     boolean isWritable() {
         return channel.channel().isWritable();
     }
--- a/gateway/src/main/java/opalcove/platform/RespDialler.java
+++ b/gateway/src/main/java/opalcove/platform/RespDialler.java
@@ -189,6 +189,12 @@
             raw.closeUnsent();
         }
 
+        @Override
+        public boolean isThere() {
+            raw.readNow();
+            return raw.isOpen();
+        }
+
         @Override
         public void send(Ask ask, double waitMs) {
             AskReader.write(ask, waitMs, raw);
--- a/gateway/src/main/java/opalcove/platform/RespFront.java
+++ b/gateway/src/main/java/opalcove/platform/RespFront.java
@@ -403,6 +403,14 @@
             }
             slot.body = ask.body();
             slot.ask = gateway.serve(ask, slot);
+            if (phases.now().ordinal() >= Phases.Phase.DRAINING.ordinal()) {
+                // Its answer comes behind those of the asks before it, which may wait longer than this process lasts.
+                slots.forEach(before -> {
+                    if (before.ask != null) {
+                        before.ask.hurry();
+                    }
+                });
+            }
         }
 
         private void other(Slot slot, RespReader command) {
--- a/gateway/src/main/java/opalcove/platform/Serve.java
+++ b/gateway/src/main/java/opalcove/platform/Serve.java
@@ -89,7 +89,7 @@
             Future<?> first = knownWillDo ? Future.succeededFuture() : listed.timeout(FIRST_LIST_MS, TimeUnit.MILLISECONDS);
             (agreed == null ? first : first.eventually(() -> versions.follow(vertx, agreed,
                     membership == null ? List::of : membership::fleet)))
-                    .onComplete(ready -> program.open(front.listen(config.listen())));
+                    .onComplete(ready -> program.open(() -> front.listen(config.listen())));
         });
     }
 
@@ -200,7 +200,7 @@
                 }
                 discovery.moveTo(config.discovery());
             });
-        } catch (BadSettings e) {
+        } catch (BadSettings | IllegalArgumentException e) {
             gateway.metrics().reconfigured(false);
             Logger.error("the new configuration is refused, the old stays in force: {}", e.getMessage());
         }
--- /dev/null
+++ b/gateway/src/test/java/opalcove/platform/EndCrossingsTest.java
@@ -0,0 +1,177 @@
+package opalcove.platform;
+
+import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertFalse;
+import static org.testng.Assert.assertTrue;
+
+import io.vertx.core.Promise;
+import java.net.Socket;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicBoolean;
+import opalcove.Facts;
+import opalcove.decision.Admission.State;
+import opalcove.gateway.Fields;
+import opalcove.gateway.Phases;
+import opalcove.gateway.Program;
+import opalcove.gateway.SettingsReader;
+import org.testng.annotations.Test;
+
+/** The end of the process crossing asks, new settings and its own start. */
+public class EndCrossingsTest {
+    private static final int WAIT_MS = 4000;
+
+    /** Taken late in the end from a node that never answers: its answer does not wait for its own time, which is over after the end. */
+    @Test
+    public void anAskTakenLateInTheEndIsAnsweredBeforeTheProcessIsKilled() throws Exception {
+        try (Stage stage = new Stage()) {
+            Stage.Node node = stage.node("n1");
+            stage.told(node.is(State.UP));
+            Socket terminal = stage.terminal();
+            halfway(stage, terminal, Stage.query(1, WAIT_MS));
+            ends(stage, 300);
+            long taken = System.nanoTime();
+            Stage.say(terminal, rest(Stage.query(1, WAIT_MS)));
+            Stage.Line line = node.accept();
+            line.command();
+            assertTrue(Stage.answer(terminal).startsWith("-"));
+            assertTrue(System.nanoTime() - taken < TimeUnit.MILLISECONDS.toNanos(WAIT_MS), "not before its own time was over");
+            assertTrue(line.ended(), "its attempt is given up");
+            assertEquals(stage.figure("ended_by_deadline_guard"), 0);
+        }
+    }
+
+    /** Its answer has to come behind that of an ask which was taken before and may wait longer. */
+    @Test
+    public void theAskBeforeOneThatCameLateInTheEndDoesNotHoldItsAnswerBack() throws Exception {
+        try (Stage stage = new Stage()) {
+            Stage.Node node = stage.node("n1");
+            stage.told(node.is(State.UP));
+            Socket terminal = stage.terminal();
+            Stage.say(terminal, Stage.query(1, WAIT_MS));
+            Stage.Line first = node.accept();
+            first.command();
+            ends(stage, 300);
+            long taken = System.nanoTime();
+            Stage.say(terminal, Stage.query(2, WAIT_MS));
+            Stage.Line second = node.accept();
+            second.command();
+            second.serve("two");
+            assertTrue(Stage.answer(terminal).startsWith("-"));
+            assertEquals(Stage.answer(terminal), "two");
+            assertTrue(System.nanoTime() - taken < TimeUnit.MILLISECONDS.toNanos(WAIT_MS), "not before its own time was over");
+        }
+    }
+
+    @Test
+    public void anAskForWhichNoTimeIsLeftIsRefusedAtOnceAndTheConnectionClosed() throws Exception {
+        try (Stage stage = new Stage()) {
+            Stage.Node node = stage.node("n1");
+            stage.told(node.is(State.UP));
+            Socket terminal = stage.terminal();
+            halfway(stage, terminal, Stage.query(1, WAIT_MS));
+            ends(stage, 0);
+            Stage.say(terminal, rest(Stage.query(1, WAIT_MS)));
+            assertEquals(Stage.answer(terminal), "-BUSY");
+            assertEquals(terminal.getInputStream().read(), -1);
+            assertTrue(node.gotNothing());
+        }
+    }
+
+    /** From SIGTERM to the last answers: within what the platform leaves a process before it is killed. */
+    @Test
+    public void theLastAnswersComeBeforeTheKillWhateverTheDeadlines() {
+        for (long longest : new long[] {200, 450, 1400, 3000, 7500, 60_000}) {
+            long fromTerm = 500 + Program.answersWithinMs(longest);
+            assertTrue(fromTerm < Math.min(longest, 3000) + 700, longest + ": " + fromTerm);
+            assertTrue(Program.answersWithinMs(longest) >= Math.min(longest, 3000) - 100, longest + ": " + fromTerm);
+        }
+    }
+
+    /** New settings with shorter deadlines crossing the end: asks that were taken under the old ones still get their answer. */
+    @Test
+    public void theEndWaitsForAsksOfOlderSettings() throws Exception {
+        try (Stage stage = new Stage()) {
+            Stage.Node node = stage.node("n1");
+            stage.told(node.is(State.UP));
+            Socket terminal = stage.terminal();
+            Stage.say(terminal, Stage.query(1, WAIT_MS));
+            Stage.Line line = node.accept();
+            line.command();
+            stage.onLoop(() -> stage.gateway.retune(SettingsReader.checked(Fields.parse(
+                    Facts.JSON.replaceAll("\"deadline_ms\":\\d+", "\"deadline_ms\":300")))));
+            assertEquals((long) stage.onLoop(() -> stage.gateway.longestDeadlineMs()), 7500);
+            CompletableFuture<Void> none = new CompletableFuture<>();
+            stage.onLoop(() -> stage.gateway.whenNoneOpen(() -> none.complete(null)));
+            assertFalse(none.isDone());
+            line.serve("one");
+            assertEquals(Stage.answer(terminal), "one");
+            none.get(Stage.PATIENCE_S, TimeUnit.SECONDS);
+            assertEquals((long) stage.onLoop(() -> stage.gateway.longestDeadlineMs()), 300);
+        }
+    }
+
+    @Test
+    public void aCommandThatLiesUnreadAsTheEndClosesWhatIsIdleIsAnswered() throws Exception {
+        try (Stage stage = new Stage()) {
+            Socket terminal = stage.terminal();
+            Stage.say(terminal, Stage.PING);
+            assertEquals(Stage.answer(terminal), "+PONG");
+            stage.unread(() -> Stage.say(terminal, Stage.PING), () -> {
+                stage.phases.enter(Phases.Phase.DRAINING);
+                stage.front.drain(() -> { });
+            });
+            assertEquals(Stage.answer(terminal), "+PONG");
+            assertEquals(terminal.getInputStream().read(), -1);
+        }
+    }
+
+    @Test
+    public void aDrainAndItsEndInOneTurnLeaveTheConnectionInUse() throws Exception {
+        try (Stage stage = new Stage()) {
+            Socket terminal = stage.terminal();
+            Stage.say(terminal, Stage.PING);
+            assertEquals(Stage.answer(terminal), "+PONG");
+            stage.unread(() -> Stage.say(terminal, Stage.PING), () -> {
+                stage.front.sendAway(true);
+                stage.front.sendAway(false);
+            });
+            assertEquals(Stage.answer(terminal), "+PONG");
+            Stage.say(terminal, Stage.PING);
+            assertEquals(Stage.answer(terminal), "+PONG");
+        }
+    }
+
+    /** Told to end before its list was there: a front that opened then would take asks that the process's end cuts off. */
+    @Test
+    public void aProgramThatIsToldToEndWhileItStartsDoesNotOpenItsFront() {
+        Program program = new Program();
+        AtomicBoolean opened = new AtomicBoolean();
+        program.phases().enter(Phases.Phase.LEAVING);
+        program.open(() -> {
+            opened.set(true);
+            return Promise.<Integer>promise().future();
+        });
+        assertFalse(opened.get());
+        assertEquals(program.phases().now(), Phases.Phase.LEAVING);
+    }
+
+    /** Brings the first half of a command, and sees that the gateway has read what was sent before it. */
+    private static void halfway(Stage stage, Socket terminal, String command) throws Exception {
+        Stage.say(terminal, Stage.PING + command.substring(0, command.length() / 2));
+        assertEquals(Stage.answer(terminal), "+PONG");
+    }
+
+    private static String rest(String command) {
+        return command.substring(command.length() / 2);
+    }
+
+    /** The process drains, and will be killed so many ms from now. */
+    private static void ends(Stage stage, int ms) throws Exception {
+        stage.onLoop(() -> {
+            stage.phases.enter(Phases.Phase.DRAINING);
+            stage.gateway.answersWithin(ms);
+            stage.front.drain(() -> { });
+        });
+    }
+}
--- /dev/null
+++ b/gateway/src/test/java/opalcove/platform/LinkCrossingsTest.java
@@ -0,0 +1,274 @@
+package opalcove.platform;
+
+import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertNotEquals;
+import static org.testng.Assert.assertTrue;
+
+import java.net.Socket;
+import java.util.concurrent.BlockingQueue;
+import java.util.concurrent.LinkedBlockingQueue;
+import java.util.concurrent.TimeUnit;
+import opalcove.decision.Admission.State;
+import org.testng.annotations.DataProvider;
+import org.testng.annotations.Test;
+
+/** What crosses a link to an app node: its coming up, its close, the answer that was not awaited any more. */
+public class LinkCrossingsTest {
+    private static final String NO_CANCEL = "\"may_cancel\":true";
+
+    @DataProvider
+    public Object[][] mayCancel() {
+        return new Object[][] {{"true"}, {"false"}};
+    }
+
+    @Test
+    public void anAskIsNotSentToANodeThatWasDrainedWhileItsLinkCameUp() throws Exception {
+        try (Stage stage = new Stage()) {
+            Stage.Node first = stage.node("n1");
+            Stage.Node second = stage.node("n2");
+            stage.told(first.is(State.UP), second.is(State.DRAINING));
+            stage.withholdLinks();
+            Socket terminal = stage.terminal();
+            Stage.say(terminal, Stage.query(1, 4000));
+            Runnable late = stage.linkUp();
+            stage.told(first.is(State.DRAINING), second.is(State.UP));
+            stage.handOver(late);
+            // The ask goes to the other node, as its second attempt.
+            stage.handOver(stage.linkUp());
+            Stage.Line line = second.accept();
+            assertTrue(line.command().contains(Stage.id(1)));
+            line.serve("two");
+            assertEquals(Stage.answer(terminal), "two");
+            assertTrue(first.gotNothing(), "a drained node got an ask");
+            assertEquals(stage.figure("lapsed_while_dialled"), 1);
+        }
+    }
+
+    @Test
+    public void anAskIsNotSentToThePlaceThatItsNodeHasLeftWhileTheLinkCameUp() throws Exception {
+        try (Stage stage = new Stage()) {
+            Stage.Node before = stage.node("n1");
+            Stage.Node after = stage.node("n1");
+            stage.told(before.is(State.UP));
+            stage.withholdLinks();
+            Socket terminal = stage.terminal();
+            Stage.say(terminal, Stage.query(1, 4000));
+            Runnable late = stage.linkUp();
+            stage.told(after.is(State.UP));
+            stage.handOver(late);
+            stage.handOver(stage.linkUp());
+            Stage.Line line = after.accept();
+            assertTrue(line.command().contains(Stage.id(1)));
+            line.serve("moved");
+            assertEquals(Stage.answer(terminal), "moved");
+            assertTrue(before.gotNothing(), "who is at the old place got an ask");
+        }
+    }
+
+    @Test(dataProvider = "mayCancel")
+    public void anAskIsNotSentOnceItsTerminalHasLeftWhileTheLinkCameUp(String mayCancel) throws Exception {
+        try (Stage stage = new Stage(NO_CANCEL, "\"may_cancel\":" + mayCancel)) {
+            Stage.Node node = stage.node("n1");
+            stage.told(node.is(State.UP));
+            stage.withholdLinks();
+            Socket terminal = stage.terminal();
+            Stage.say(terminal, Stage.query(1, 4000));
+            Runnable late = stage.linkUp();
+            terminal.close();
+            stage.until("terminals_left", 1);
+            stage.handOver(late);
+            // The link is kept, and a later ask is the first that the node gets on it.
+            stage.until("links_resting", 1);
+            Socket other = stage.terminal();
+            Stage.say(other, Stage.query(2, 4000));
+            Stage.Line line = node.accept();
+            assertTrue(line.command().contains(Stage.id(2)), "the ask of one who left was sent");
+            line.serve("two");
+            assertEquals(Stage.answer(other), "two");
+        }
+    }
+
+    /** Of a link that is given up because its terminal left, nothing is held against the node: the next ask goes there at once. */
+    @Test
+    public void aNodeIsNotBlamedForALinkThatATerminalDidNotWaitFor() throws Exception {
+        try (Stage stage = new Stage()) {
+            Stage.Node node = stage.node("n1");
+            stage.told(node.is(State.UP));
+            stage.withholdLinks();
+            for (int leaving = 1; leaving <= 4; leaving++) {
+                Socket terminal = stage.terminal();
+                Stage.say(terminal, Stage.query(leaving, 4000));
+                stage.linkUp();
+                terminal.close();
+                stage.until("terminals_left", leaving);
+                assertEquals(stage.figure("attempts"), leaving);
+            }
+            stage.onLoop(() -> stage.serve(9, 4000, new LinkedBlockingQueue<>()));
+            assertEquals(stage.figure("attempts"), 5);
+        }
+    }
+
+    @Test(dataProvider = "mayCancel")
+    public void anAskIsNotSentOnceItHasItsAnswerWhileTheLinkCameUp(String mayCancel) throws Exception {
+        try (Stage stage = new Stage(NO_CANCEL, "\"may_cancel\":" + mayCancel)) {
+            Stage.Node node = stage.node("n1");
+            stage.told(node.is(State.UP));
+            stage.withholdLinks();
+            Socket terminal = stage.terminal();
+            Stage.say(terminal, Stage.query(1, 100));
+            Runnable late = stage.linkUp();
+            assertTrue(Stage.answer(terminal).startsWith("-"), "a final answer in time, though no link came up");
+            stage.handOver(late);
+            stage.until("asks_open", 0);
+            assertTrue(node.gotNothing(), "an ask that was answered was sent");
+        }
+    }
+
+    @Test
+    public void anAttemptThatMayNotBeCalledOffEndsWithItsAsksTime() throws Exception {
+        try (Stage stage = new Stage(NO_CANCEL, "\"may_cancel\":false")) {
+            Stage.Node node = stage.node("n1");
+            stage.told(node.is(State.UP));
+            Socket terminal = stage.terminal();
+            Stage.say(terminal, Stage.query(1, 100));
+            Stage.Line line = node.accept();
+            line.command();
+            assertTrue(Stage.answer(terminal).startsWith("-"));
+            assertTrue(line.ended(), "the link is kept for an answer that nobody awaits");
+            stage.until("links_open", 0);
+        }
+    }
+
+    @Test
+    public void aRepeatWhoseWindowEndedWhileTheLinkCameUpIsNotSent() throws Exception {
+        try (Stage stage = new Stage("\"window_ms\":4000", "\"window_ms\":700", "\"group\":\"cell\"", "\"group\":\"all\"")) {
+            Stage.Node node = stage.node("n1");
+            Stage.Node other = stage.node("n2");
+            stage.told(node.is(State.UP), other.is(State.DRAINING));
+            // The module makes a priced repeat for each ten first attempts.
+            Stage.Line line = rested(stage, node);
+            for (int i = 0; i < 10; i++) {
+                again(stage, line);
+            }
+            Socket terminal = stage.terminal();
+            Stage.say(terminal, Stage.submit(99, 2000, "k1"));
+            line.command();
+            long ran = System.nanoTime();
+            stage.told(node.is(State.DRAINING), other.is(State.UP));
+            stage.withholdLinks();
+            // The first attempt may have run: only within the window may the other node see it.
+            line.reset();
+            Runnable late = stage.linkUp();
+            while (System.nanoTime() - ran < TimeUnit.MILLISECONDS.toNanos(700)) {
+                Thread.onSpinWait();
+            }
+            stage.handOver(late);
+            assertTrue(Stage.answer(terminal).startsWith("-"));
+            assertTrue(other.gotNothing(), "a repeat was sent after its window");
+        }
+    }
+
+    @Test
+    public void aLineThatItsNodeHasClosedAtRestIsNotWrittenTo() throws Exception {
+        try (Stage stage = new Stage()) {
+            Stage.Node node = stage.node("n1");
+            stage.told(node.is(State.UP));
+            Stage.Line line = rested(stage, node);
+            BlockingQueue<String> answers = new LinkedBlockingQueue<>();
+            stage.unread(line.socket::close, () -> stage.serve(2, 4000, answers));
+            Stage.Line fresh = node.accept();
+            assertTrue(fresh.command().contains(Stage.id(2)));
+            fresh.serve("two");
+            assertEquals(answers.poll(Stage.PATIENCE_S, TimeUnit.SECONDS), "two");
+            assertEquals(stage.figure("attempts_broken"), 0);
+            assertEquals(stage.figure("attempts"), 2);
+        }
+    }
+
+    @Test
+    public void aSecondAnswerIsNotTakenForTheNextAskThoughItWasNotReadYet() throws Exception {
+        try (Stage stage = new Stage()) {
+            Stage.Node node = stage.node("n1");
+            stage.told(node.is(State.UP));
+            Stage.Line line = rested(stage, node);
+            BlockingQueue<String> answers = new LinkedBlockingQueue<>();
+            stage.unread(() -> line.serve("one again"), () -> stage.serve(2, 4000, answers));
+            Stage.Line fresh = node.accept();
+            assertTrue(fresh.command().contains(Stage.id(2)));
+            fresh.serve("two");
+            assertEquals(answers.poll(Stage.PATIENCE_S, TimeUnit.SECONDS), "two");
+            assertTrue(line.ended(), "a line with a second answer on it is given up");
+        }
+    }
+
+    @Test
+    public void aNodesAnswerThatCrossesTheTerminalsLeavingIsNobodysElse() throws Exception {
+        try (Stage stage = new Stage()) {
+            Stage.Node node = stage.node("n1");
+            stage.told(node.is(State.UP));
+            Socket terminal = stage.terminal();
+            Stage.say(terminal, Stage.query(1, 4000));
+            Stage.Line line = node.accept();
+            line.command();
+            BlockingQueue<String> answers = new LinkedBlockingQueue<>();
+            // Both lie unread when the next ask is taken; whichever is read first, the next ask's answer is its own.
+            stage.unread(() -> {
+                line.serve("one");
+                terminal.close();
+            }, () -> stage.serve(2, 4000, answers));
+            Stage.Line other = node.accept();
+            assertTrue(other.command().contains(Stage.id(2)));
+            other.serve("two");
+            assertEquals(answers.poll(Stage.PATIENCE_S, TimeUnit.SECONDS), "two");
+            stage.until("asks_open", 0);
+            assertEquals(stage.figure("attempts"), 2);
+        }
+    }
+
+    @Test
+    public void anAnswerThatCrossesTheEndOfItsAsksTimeGivesOneAnswerAndSparesTheNextAsk() throws Exception {
+        try (Stage stage = new Stage()) {
+            Stage.Node node = stage.node("n1");
+            stage.told(node.is(State.UP));
+            Socket terminal = stage.terminal();
+            Stage.say(terminal, Stage.query(1, 150));
+            Stage.Line line = node.accept();
+            line.command();
+            String first = Stage.answer(terminal);
+            assertNotEquals(first, "one");
+            // The attempt was given up with that answer; what its node says now is on a line that is gone.
+            try {
+                line.serve("one");
+            } catch (java.net.SocketException gone) {
+                assertTrue(line.ended());
+            }
+            Stage.say(terminal, Stage.query(2, 4000));
+            Stage.Line fresh = node.accept();
+            assertTrue(fresh.command().contains(Stage.id(2)));
+            fresh.serve("two");
+            assertEquals(Stage.answer(terminal), "two");
+        }
+    }
+
+    /** A line that has carried an answer and rests. */
+    private static Stage.Line rested(Stage stage, Stage.Node node) throws Exception {
+        Socket terminal = stage.terminal();
+        Stage.say(terminal, Stage.query(1, 4000));
+        Stage.Line line = node.accept();
+        line.command();
+        line.serve("one");
+        assertEquals(Stage.answer(terminal), "one");
+        stage.until("links_resting", 1);
+        return line;
+    }
+
+    /** One more ask on a line that rests. */
+    private static void again(Stage stage, Stage.Line line) throws Exception {
+        BlockingQueue<String> answers = new LinkedBlockingQueue<>();
+        stage.onLoop(() -> stage.serve(50, 4000, answers));
+        line.command();
+        line.serve("again");
+        assertEquals(answers.poll(Stage.PATIENCE_S, TimeUnit.SECONDS), "again");
+        stage.until("links_resting", 1);
+    }
+}
--- a/mqtt/src/main/java/opalcove/mqtt/ServeMqtt.java
+++ b/mqtt/src/main/java/opalcove/mqtt/ServeMqtt.java
@@ -28,7 +28,7 @@
             gateway.nodesTold(true, config.nodes());
             Future<Integer> desk = config.control() == null ? Future.succeededFuture(0)
                     : new ControlDesk(vertx, gateway).listen(config.control());
-            program.open(desk.compose(opened -> front.listen(config.listen())));
+            program.open(() -> desk.compose(opened -> front.listen(config.listen())));
         });
     }
 }
