--- a/gateway/src/main/java/opalcove/gateway/LinkPool.java
+++ b/gateway/src/main/java/opalcove/gateway/LinkPool.java
@@ -34,6 +34,14 @@
      */
     private static final double DISTRUST_MS = 10_000;
 
+    /**
+     * A line that rested for longer than this is looked at before it is used again, ms: its node may have closed it for
+     * resting. One that is used again sooner costs no such look, a read of its own, but after a second answer.
+     */
+    private static final double SURE_MS = 50;
+    /** How long each line is looked at before it is used again after a second answer has come on one, ms. */
+    private static final double WARY_MS = 10_000;
+
     /** Opens lines on one wire. */
     public interface Dialler {
         /** Succeeds with a line that is ready for an attempt, or fails within the settings' time for connecting. */
@@ -91,6 +99,8 @@
     private int links;
     private boolean distrusted;
     private long brokeAt;
+    private boolean wary;
+    private long waryAt;
 
     public LinkPool(Vertx vertx, Admission.Settings settings, Dialler dialler, int most) {
         this.vertx = vertx;
@@ -109,7 +119,7 @@
             shelf = new Shelf();
             shelves.put(node.name(), shelf);
         }
-        Link rested = shelf.take();
+        Link rested = take(shelf.idle);
         if (rested != null) {
             attempt.sendOn(rested);
         } else if (links >= most) {
@@ -122,6 +132,20 @@
         return attempt;
     }
 
+    /**
+     * A line for an attempt, or null. Guards the attempt against a line that its node has closed meanwhile, and against a
+     * second answer to the attempt before, which would be taken for its own: neither may have been read yet.
+     */
+    private Link take(Deque<Link> idle) {
+        long now = System.nanoTime();
+        wary &= (now - waryAt) / 1e6 < WARY_MS;
+        Link link = idle.pollFirst();
+        while (link != null && (wary || (now - link.idleSince) / 1e6 > SURE_MS) && !link.line.isThere()) {
+            link = idle.pollFirst();
+        }
+        return link;
+    }
+
     private void dial(AppNode node, Shelf shelf, Carried attempt) {
         dial(node.address()).onComplete(dialled -> {
             if (dialled.failed()) {
@@ -240,18 +264,6 @@
     private static final class Shelf {
         final Deque<Link> idle = new ArrayDeque<>();
         boolean open = true;
-
-        /**
-         * A line for an attempt, or null. Guards the attempt against a line that its node has closed meanwhile, and against
-         * a second answer to the attempt before, which would be taken for its own: neither may have been read yet.
-         */
-        Link take() {
-            Link link = idle.pollFirst();
-            while (link != null && !link.line.isThere()) {
-                link = idle.pollFirst();
-            }
-            return link;
-        }
     }
 
     /** A line and the attempt that it carries. */
@@ -280,6 +292,8 @@
             Carried done = user;
             if (done == null) {
                 // Guards the next attempt against an answer that belongs to none.
+                wary = true;
+                waryAt = System.nanoTime();
                 line.close();
                 return;
             }
