--- a/gateway/src/test/java/opalcove/platform/EndCrossingsTest.java
+++ b/gateway/src/test/java/opalcove/platform/EndCrossingsTest.java
@@ -20,23 +20,24 @@
 /** The end of the process crossing asks, new settings and its own start. */
 public class EndCrossingsTest {
     private static final int WAIT_MS = 4000;
+    /** An ask that would wait for longer than the test does. */
+    private static final int LONG_MS = 90_000;
+    private static final String[] LONG = {"\"aim_ms\":2000,\"deadline_ms\":4000", "\"aim_ms\":2000,\"deadline_ms\":90000"};
 
     /** Taken late in the end from a node that never answers: its answer does not wait for its own time, which is over after the end. */
     @Test
     public void anAskTakenLateInTheEndIsAnsweredBeforeTheProcessIsKilled() throws Exception {
-        try (Stage stage = new Stage()) {
+        try (Stage stage = new Stage(LONG)) {
             Stage.Node node = stage.node("n1");
             stage.told(node.is(State.UP));
             Socket terminal = stage.terminal();
-            halfway(stage, terminal, Stage.query(1, WAIT_MS));
+            halfway(stage, terminal, Stage.query(1, LONG_MS));
             ends(stage, 300);
-            long taken = System.nanoTime();
-            Stage.say(terminal, rest(Stage.query(1, WAIT_MS)));
+            Stage.say(terminal, rest(Stage.query(1, LONG_MS)));
             Stage.Line line = node.accept();
             // Its node is told how long it is waited for.
             assertTrue(line.command().matches(".*,d=[0-3]?[0-9]?[0-9](\\.[0-9]+)?,.*"));
             assertTrue(Stage.answer(terminal).startsWith("-"));
-            assertTrue(System.nanoTime() - taken < TimeUnit.MILLISECONDS.toNanos(WAIT_MS), "not before its own time was over");
             assertTrue(line.ended(), "its attempt is given up");
             assertEquals(stage.figure("ended_by_deadline_guard"), 0);
         }
@@ -45,22 +46,20 @@
     /** Its answer has to come behind that of an ask which was taken before and may wait longer. */
     @Test
     public void theAskBeforeOneThatCameLateInTheEndDoesNotHoldItsAnswerBack() throws Exception {
-        try (Stage stage = new Stage()) {
+        try (Stage stage = new Stage(LONG)) {
             Stage.Node node = stage.node("n1");
             stage.told(node.is(State.UP));
             Socket terminal = stage.terminal();
-            Stage.say(terminal, Stage.query(1, WAIT_MS));
+            Stage.say(terminal, Stage.query(1, LONG_MS));
             Stage.Line first = node.accept();
             first.command();
             ends(stage, 300);
-            long taken = System.nanoTime();
-            Stage.say(terminal, Stage.query(2, WAIT_MS));
+            Stage.say(terminal, Stage.query(2, LONG_MS));
             Stage.Line second = node.accept();
             second.command();
             second.serve("two");
             assertTrue(Stage.answer(terminal).startsWith("-"));
             assertEquals(Stage.answer(terminal), "two");
-            assertTrue(System.nanoTime() - taken < TimeUnit.MILLISECONDS.toNanos(WAIT_MS), "not before its own time was over");
         }
     }
 
