--- a/gateway/src/main/java/opalcove/gateway/LinkPool.java
+++ b/gateway/src/main/java/opalcove/gateway/LinkPool.java
@@ -35,10 +35,11 @@
     private static final double DISTRUST_MS = 10_000;
 
     /**
-     * A line that rested for longer than this is looked at before it is used again, ms: its node may have closed it for
-     * resting. One that is used again sooner costs no such look, a read of its own, but after a second answer.
+     * A line that rested for longer than this part of the nodes' idle time is looked at before it is used again: its node
+     * may have closed it for resting. One that is used again sooner costs no such look, a read of its own, but after a
+     * second answer.
      */
-    private static final double SURE_MS = 50;
+    private static final double SURE_PART = 1.0 / 30;
     /** How long each line is looked at before it is used again after a second answer has come on one, ms. */
     private static final double WARY_MS = 10_000;
 
@@ -85,6 +86,7 @@
 
     private final Dialler dialler;
     private final double idleMs;
+    private final double sureMs;
     private final int most;
     private final Vertx vertx;
     /** By node; a shelf leaves with its node. */
@@ -108,6 +110,7 @@
         this.most = most;
         double told = settings.limits().idleCloseMs();
         idleMs = (told > 0 ? told : IDLE_DEFAULT_MS) * IDLE_PART;
+        sureMs = (told > 0 ? told : IDLE_DEFAULT_MS) * SURE_PART;
         vertx.setPeriodic(SWEEP_MS, swept -> closeIdle());
     }
 
@@ -140,7 +143,7 @@
         long now = System.nanoTime();
         wary &= (now - waryAt) / 1e6 < WARY_MS;
         Link link = idle.pollFirst();
-        while (link != null && (wary || (now - link.idleSince) / 1e6 > SURE_MS) && !link.line.isThere()) {
+        while (link != null && (wary || (now - link.idleSince) / 1e6 > sureMs) && !link.line.isThere()) {
             link = idle.pollFirst();
         }
         return link;
--- a/gateway/src/test/java/opalcove/platform/LinkCrossingsTest.java
+++ b/gateway/src/test/java/opalcove/platform/LinkCrossingsTest.java
@@ -16,6 +16,9 @@
 public class LinkCrossingsTest {
     private static final String NO_CANCEL = "\"may_cancel\":true";
 
+    /** Nodes that close a link after 1.5 s of rest: one that rested for 50 ms is looked at. */
+    private static final String[] IDLE = {"\"idle_close_ms\":30000", "\"idle_close_ms\":1500"};
+
     @DataProvider
     public Object[][] mayCancel() {
         return new Object[][] {{"true"}, {"false"}};
@@ -170,7 +173,7 @@
 
     @Test
     public void aLineThatItsNodeHasClosedAtRestIsNotWrittenTo() throws Exception {
-        try (Stage stage = new Stage()) {
+        try (Stage stage = new Stage(IDLE)) {
             Stage.Node node = stage.node("n1");
             stage.told(node.is(State.UP));
             Stage.Line line = rested(stage, node);
@@ -190,7 +193,7 @@
 
     @Test
     public void aSecondAnswerIsNotTakenForTheNextAskThoughItWasNotReadYet() throws Exception {
-        try (Stage stage = new Stage()) {
+        try (Stage stage = new Stage(IDLE)) {
             Stage.Node node = stage.node("n1");
             stage.told(node.is(State.UP));
             Stage.Line line = rested(stage, node);
