--- a/gateway/src/main/java/opalcove/platform/DiscoveryWatch.java
+++ b/gateway/src/main/java/opalcove/platform/DiscoveryWatch.java
@@ -47,6 +47,9 @@
         }
     }
 
+    /** How long a connection to discovery may take to come up, ms: a process that has just started is slow itself. */
+    private static final int CONNECT_MS = 1000;
+
     /** Takes in lines of the node list. */
     public interface Listener {
         void told(boolean whole, List<AppNode> lines);
@@ -55,7 +58,11 @@
     private final Vertx vertx;
     private final HttpClient client;
     private final Listener listener;
+    /** Failed calls after which a list that has not come yet is not waited for: it does not answer. */
+    private static final int FAILS_OF_SILENCE = 2;
+
     private final Promise<Void> first = Promise.promise();
+    private final Promise<Void> firstWord = Promise.promise();
     private final Pace pace;
     private Endpoint address;
     /** How often the address has changed: what began at an earlier one is not heard any more. */
@@ -63,6 +70,8 @@
     private HttpClientRequest running;
     private long index = NO_INDEX;
     private boolean silent;
+    private boolean started;
+    private int failsBeforeFirst;
 
     public DiscoveryWatch(Vertx vertx, Endpoint address, Admission.Settings settings, RandomGenerator random,
                           Listener listener) {
@@ -74,7 +83,7 @@
         this.vertx = vertx;
         this.listener = listener;
         this.address = address;
-        client = vertx.createHttpClient(new HttpClientOptions().setKeepAlive(true).setConnectTimeout(pace.silenceMs())
+        client = vertx.createHttpClient(new HttpClientOptions().setKeepAlive(true).setConnectTimeout(CONNECT_MS)
                 .setDecompressionSupported(false));
     }
 
@@ -88,7 +97,9 @@
      * gateway asks it for one watch, not for the whole list and then for a watch.
      */
     public Future<Void> startFrom(long known) {
-        index = known;
+        // A version of a discovery that was left before the start says nothing of this one.
+        index = moves == 0 ? known : NO_INDEX;
+        started = true;
         if (pace.firstAfterMs() > 0) {
             int move = moves;
             vertx.setTimer(pace.firstAfterMs(), due -> watchStill(move));
@@ -98,6 +109,15 @@
         return first.future();
     }
 
+    /**
+     * Succeeds once the first list has come, or once discovery does not answer. Guards nodes that were drained before this
+     * process started, of which its agent's word counts as told: while a call is on its way its answer is waited for, also
+     * by a process that is so slow in its first second that the answer has lain there all the while.
+     */
+    public Future<Void> firstWord() {
+        return firstWord.future();
+    }
+
     /** Follows discovery at another address from now on, whole list first; until that comes the last list holds. */
     public void moveTo(Endpoint elsewhere) {
         if (elsewhere.equals(address)) {
@@ -112,7 +132,10 @@
         if (running != null) {
             running.reset();
         }
-        watch();
+        // Before the start there is no watch to go on with, and the start's own is made at the new address.
+        if (started) {
+            watch();
+        }
     }
 
     private void next(boolean answered, int move) {
@@ -144,12 +167,14 @@
 
     private Future<Void> call(String uri, int silenceMs, int move) {
         return client.request(new RequestOptions().setMethod(HttpMethod.GET).setHost(address.address())
-                        .setPort(address.port()).setURI(uri).setConnectTimeout(pace.silenceMs()))
+                        .setPort(address.port()).setURI(uri).setConnectTimeout(CONNECT_MS))
                 .compose(request -> {
                     running = request;
+                    Future<Buffer> answer = request.send().compose(this::body);
                     // Guards against an answer that stops half way: the client's own idle time-out was seen not to end it.
+                    // Counted from when the call has left: a process that has just started takes its time for its first one.
                     long late = vertx.setTimer(silenceMs, due -> request.reset());
-                    return request.send().compose(this::body).onComplete(done -> vertx.cancelTimer(late));
+                    return answer.onComplete(done -> vertx.cancelTimer(late));
                 })
                 .compose(body -> move == moves ? take(body) : Future.failedFuture("discovery has moved"))
                 .onFailure(reason -> failed(reason, move));
@@ -162,6 +187,9 @@
 
     /** Tells the first failure of each time that discovery is away, not the calls made until it is back. */
     private void failed(Throwable reason, int move) {
+        if (move == moves && ++failsBeforeFirst >= FAILS_OF_SILENCE) {
+            firstWord.tryComplete();
+        }
         if (!silent && move == moves) {
             silent = true;
             Logger.warn("discovery does not answer: {}", reason.getMessage());
@@ -180,6 +208,7 @@
                 listener.told(whole, lines);
             }
             first.tryComplete();
+            firstWord.tryComplete();
             return Future.succeededFuture();
         } catch (BadSettings e) {
             return Future.failedFuture(e);
--- a/gateway/src/main/java/opalcove/platform/Serve.java
+++ b/gateway/src/main/java/opalcove/platform/Serve.java
@@ -7,7 +7,6 @@
 import java.util.Locale;
 import java.util.ServiceLoader;
 import java.util.SplittableRandom;
-import java.util.concurrent.TimeUnit;
 import java.util.function.Supplier;
 import opalcove.cluster.AgreedState;
 import opalcove.cluster.Membership;
@@ -24,8 +23,6 @@
 
 /** The platform's gateway: RESP2 on both sides, the node list from discovery. */
 public final class Serve {
-    /** How long to wait for discovery's first answer before the list known from before, if any, must do, ms. */
-    private static final long FIRST_LIST_MS = 1000;
     /** How long to wait for a voter's word on the version in force, ms. */
     private static final long FIRST_VERSION_MS = 12_000;
 
@@ -83,10 +80,10 @@
             }
             hangups.listen(() -> reload(config, vertx, discovery, gateway, versions));
             // A list known from before may be out of date: asks must not go to a node that the agent could have told is
-            // gone. Where one service has to be asked it will do, for waiting on that only keeps a gateway away longer.
+            // gone: only where that does not answer must the known list do. Where one service has to be asked it will do, for waiting on that only keeps a gateway away longer.
             boolean knownWillDo = config.settings().duties().listOnRequest() && !config.known().isEmpty();
-            Future<Void> listed = knownWillDo ? discovery.startFrom(config.knownIndex()) : discovery.start();
-            Future<?> first = knownWillDo ? Future.succeededFuture() : listed.timeout(FIRST_LIST_MS, TimeUnit.MILLISECONDS);
+            discovery.startFrom(knownWillDo ? config.knownIndex() : DiscoveryWatch.NO_INDEX);
+            Future<?> first = knownWillDo ? Future.succeededFuture() : discovery.firstWord();
             (agreed == null ? first : first.eventually(() -> versions.follow(vertx, agreed,
                     membership == null ? List::of : membership::fleet)))
                     .onComplete(ready -> program.open(() -> front.listen(config.listen())));
--- a/gateway/src/test/java/opalcove/platform/DiscoveryWatchTest.java
+++ b/gateway/src/test/java/opalcove/platform/DiscoveryWatchTest.java
@@ -1,11 +1,17 @@
 package opalcove.platform;
 
 import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertFalse;
 import static org.testng.Assert.assertTrue;
 
+import io.vertx.core.Context;
 import io.vertx.core.Vertx;
 import io.vertx.core.http.HttpServer;
 import io.vertx.core.http.HttpServerRequest;
+import java.net.InetAddress;
+import java.net.ServerSocket;
+import java.net.Socket;
+import java.nio.charset.StandardCharsets;
 import java.util.Collections;
 import java.util.HashSet;
 import java.util.List;
@@ -14,6 +20,7 @@
 import java.util.SplittableRandom;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.ConcurrentLinkedQueue;
+import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
 import java.util.random.RandomGenerator;
 import java.util.stream.IntStream;
@@ -34,6 +41,8 @@
             + "\"group\":0,\"status\":\"up\",\"weight\":1.0,\"since_ms\":0}";
 
     private Vertx vertx;
+    /** The event loop of the last watch. */
+    private volatile Context loop;
 
     @BeforeMethod
     public void open() {
@@ -153,6 +162,98 @@
         assertEquals(List.copyOf(told), List.of("s-1 UP", "s-1 DRAINING"));
     }
 
+    /** The answer lies in the kernel while the process is held up for longer than silence lasts: it is taken, not given up. */
+    @Test
+    public void aProcessThatWasHeldUpDoesNotTakeItsOwnSlownessForSilence() throws Exception {
+        int silenceMs = 300;
+        CompletableFuture<AppNode> heard = new CompletableFuture<>();
+        try (ServerSocket discovery = new ServerSocket(0, 8, InetAddress.getByName("127.0.0.1"))) {
+            discovery.setSoTimeout(20_000);
+            watch(discovery.getLocalPort(), new DiscoveryWatch.Pace(10_000, silenceMs, 0, new GrowingWait(1, 2,
+                    new SplittableRandom(1))), (whole, lines) -> heard.complete(lines.get(0)));
+            try (Socket line = discovery.accept()) {
+                assertEquals(call(line), "GET /v1/endpoints HTTP/1.1");
+                CountDownLatch held = new CountDownLatch(1);
+                CountDownLatch goOn = new CountDownLatch(1);
+                loop.runOnContext(hold -> {
+                    held.countDown();
+                    try {
+                        goOn.await();
+                    } catch (InterruptedException e) {
+                        Thread.currentThread().interrupt();
+                    }
+                });
+                held.await();
+                String list = "{\"index\":4,\"snapshot\":true,\"endpoints\":[" + NODE + "]}";
+                line.getOutputStream().write(("HTTP/1.1 200 OK\r\nContent-Length: " + list.length() + "\r\n\r\n" + list)
+                        .getBytes(StandardCharsets.US_ASCII));
+                Thread.sleep(2 * silenceMs);
+                goOn.countDown();
+                // The watch goes on over the same connection.
+                assertEquals(call(line), "GET /v1/endpoints?since=4&timeout_ms=10000 HTTP/1.1");
+                assertTrue(heard.isDone());
+            }
+        }
+    }
+
+    /** A front opens on the first word: not while a call is on its way, but with its list, or when discovery does not answer. */
+    @Test
+    public void theFirstWordIsTheListOrThatThereIsNoAnswer() throws Exception {
+        CompletableFuture<HttpServerRequest> held = new CompletableFuture<>();
+        Queue<AppNode> told = new ConcurrentLinkedQueue<>();
+        DiscoveryWatch watch = watch(serve(held::complete), new DiscoveryWatch.Pace(10_000, 20_000, 0,
+                new GrowingWait(1, 2, new SplittableRandom(1))), (whole, lines) -> told.addAll(lines));
+        HttpServerRequest call = held.get(20, TimeUnit.SECONDS);
+        assertFalse(watch.firstWord().isComplete(), "opens while the list is on its way");
+        call.response().end("{\"index\":4,\"snapshot\":true,\"endpoints\":[" + NODE + "]}");
+        watch.firstWord().toCompletionStage().toCompletableFuture().get(20, TimeUnit.SECONDS);
+        assertEquals(told.size(), 1);
+        Queue<String> refused = new ConcurrentLinkedQueue<>();
+        DiscoveryWatch away = watch(serve(each -> {
+            refused.add(each.uri());
+            each.response().setStatusCode(503).end();
+        }), new DiscoveryWatch.Pace(10_000, 20_000, 0, new GrowingWait(1, 2, new SplittableRandom(1))),
+                (whole, lines) -> told.addAll(lines));
+        away.firstWord().toCompletionStage().toCompletableFuture().get(20, TimeUnit.SECONDS);
+        assertTrue(refused.size() >= 2, refused + "");
+        assertEquals(told.size(), 1);
+    }
+
+    /** SIGHUP came while the process started: one watch, at the new address, of its whole list. */
+    @Test
+    public void aMoveBeforeTheStartLeavesOneWatch() throws Exception {
+        Queue<String> calls = new ConcurrentLinkedQueue<>();
+        CompletableFuture<Void> watched = new CompletableFuture<>();
+        int elsewhere = serve(call -> {
+            calls.add(call.uri().replaceAll("&.*", ""));
+            if (call.uri().contains("since")) {
+                watched.complete(null);
+            } else {
+                call.response().end("{\"index\":4,\"snapshot\":true,\"endpoints\":[" + NODE + "]}");
+            }
+        });
+        vertx.runOnContext(start -> {
+            DiscoveryWatch watch = new DiscoveryWatch(vertx, new Endpoint("127.0.0.1", 1), new DiscoveryWatch.Pace(10_000,
+                    20_000, 0, new GrowingWait(1, 2, new SplittableRandom(1))), (whole, lines) -> { });
+            watch.moveTo(new Endpoint("127.0.0.1", elsewhere));
+            watch.startFrom(41);
+        });
+        watched.get(20, TimeUnit.SECONDS);
+        assertEquals(List.copyOf(calls), List.of("/v1/endpoints", "/v1/endpoints?since=4"));
+    }
+
+    /** The next call on this connection; its first line. */
+    private static String call(Socket line) throws Exception {
+        line.setSoTimeout(20_000);
+        StringBuilder head = new StringBuilder();
+        while (head.indexOf("\r\n\r\n") < 0) {
+            int each = line.getInputStream().read();
+            assertTrue(each >= 0, "the connection was given up");
+            head.append((char) each);
+        }
+        return head.substring(0, head.indexOf("\r\n"));
+    }
+
     private int serve(io.vertx.core.Handler<HttpServerRequest> calls) throws Exception {
         return vertx.createHttpServer().requestHandler(calls).listen(0, "127.0.0.1").toCompletionStage()
                 .toCompletableFuture().get(20, TimeUnit.SECONDS).actualPort();
@@ -161,6 +262,7 @@
     private DiscoveryWatch watch(int port, DiscoveryWatch.Pace pace, DiscoveryWatch.Listener listener) throws Exception {
         CompletableFuture<DiscoveryWatch> watch = new CompletableFuture<>();
         vertx.runOnContext(start -> {
+            loop = Vertx.currentContext();
             watch.complete(new DiscoveryWatch(vertx, new Endpoint("127.0.0.1", port), pace, listener));
             watch.join().start();
         });
