--- a/gateway/src/main/java/opalcove/gateway/Counters.java
+++ b/gateway/src/main/java/opalcove/gateway/Counters.java
@@ -16,6 +16,8 @@
     long overdue;
     long cancelled;
     long lapsed;
+    long listCallsFailed;
+    long listsRefused;
     private final long[] ends = new long[Admission.Result.values().length];
 
     void ended(Admission.Result result) {
@@ -37,6 +39,8 @@
         line(text, "refused", refused);
         line(text, "failed", failed);
         line(text, "terminals_left", left);
+        line(text, "list_calls_failed", listCallsFailed);
+        line(text, "lists_refused", listsRefused);
         line(text, "stopped_by_guards", guarded);
         line(text, "ended_by_deadline_guard", overdue);
         return text.toString();
--- a/gateway/src/main/java/opalcove/gateway/Gateway.java
+++ b/gateway/src/main/java/opalcove/gateway/Gateway.java
@@ -449,6 +449,15 @@
         return nodes.all();
     }
 
+    /** Discovery was asked and gave no list that can be used: none at all, or one that was refused. */
+    public void listUntold(boolean refused) {
+        if (refused) {
+            counters.listsRefused++;
+        } else {
+            counters.listCallsFailed++;
+        }
+    }
+
     /** A front has joined a redelivery to the request under way, or to its answer. */
     public void joined() {
         counters.joined++;
--- a/gateway/src/main/java/opalcove/platform/DiscoveryWatch.java
+++ b/gateway/src/main/java/opalcove/platform/DiscoveryWatch.java
@@ -43,16 +43,27 @@
             return settings.duties().listOnRequest()
                     ? new Pace(3000, 2500, (long) (SPREAD_MS * (settings.gateways() - 1) * random.nextDouble()),
                             new GrowingWait(200, 3200, random))
-                    : new Pace(400, 400, 0, new GrowingWait(50, 100, random));
+                    : new Pace(250, 400, 0, new GrowingWait(50, 100, random));
+        }
+
+        /**
+         * How long a connection to discovery may take to come up, ms. One that was tried while the agent was away may never
+         * come up, and is part of the same second as a call that is never answered.
+         */
+        int connectMs() {
+            return Math.min(CONNECT_MS, silenceMs);
         }
     }
 
-    /** How long a connection to discovery may take to come up, ms: a process that has just started is slow itself. */
+    /** The same before the first list, ms: a process that has just started is slow itself. */
     private static final int CONNECT_MS = 1000;
 
     /** Takes in lines of the node list. */
     public interface Listener {
         void told(boolean whole, List<AppNode> lines);
+
+        /** A call has brought no list that can be used: none at all, or one that is refused. */
+        default void untold(boolean refused) { }
     }
 
     private final Vertx vertx;
@@ -167,7 +178,8 @@
 
     private Future<Void> call(String uri, int silenceMs, int move) {
         return client.request(new RequestOptions().setMethod(HttpMethod.GET).setHost(address.address())
-                        .setPort(address.port()).setURI(uri).setConnectTimeout(CONNECT_MS))
+                        .setPort(address.port()).setURI(uri).setConnectTimeout(first.future().isComplete() ? pace.connectMs()
+                                : CONNECT_MS))
                 .compose(request -> {
                     running = request;
                     Future<Buffer> answer = request.send().compose(this::body);
@@ -185,14 +197,20 @@
                 : Future.failedFuture("status " + response.statusCode());
     }
 
-    /** Tells the first failure of each time that discovery is away, not the calls made until it is back. */
+    /** Counts each call without a usable list; tells the first of each such time, not the calls made until one comes. */
     private void failed(Throwable reason, int move) {
-        if (move == moves && ++failsBeforeFirst >= FAILS_OF_SILENCE) {
+        if (move != moves) {
+            return;
+        }
+        boolean refused = reason instanceof BadSettings;
+        listener.untold(refused);
+        if (++failsBeforeFirst >= FAILS_OF_SILENCE) {
             firstWord.tryComplete();
         }
-        if (!silent && move == moves) {
+        if (!silent) {
             silent = true;
-            Logger.warn("discovery does not answer: {}", reason.getMessage());
+            Logger.warn("{}: {}", refused ? "a list of discovery is refused" : "discovery does not answer",
+                    reason.getMessage());
         }
     }
 
@@ -200,10 +218,17 @@
         try {
             Fields list = Fields.parse(body.toString());
             List<AppNode> lines = NodeLines.read(list.objects("endpoints"));
-            index = list.serial("index");
+            long version = list.serial("index");
+            boolean whole = list.flag("snapshot");
+            if (!whole && version < index) {
+                // Guards nodes that are known to be drained against changes of before their drain.
+                long known = index;
+                index = NO_INDEX;
+                throw new BadSettings("changes up to version " + version + " do not follow version " + known);
+            }
+            index = version;
             silent = false;
             pace.again().reset();
-            boolean whole = list.flag("snapshot");
             if (whole || !lines.isEmpty()) {
                 listener.told(whole, lines);
             }
--- a/gateway/src/main/java/opalcove/platform/Serve.java
+++ b/gateway/src/main/java/opalcove/platform/Serve.java
@@ -57,7 +57,7 @@
             RespFront front = new RespFront(vertx, gateway, program.phases(), config.sockets() * 2 / 5);
             Versions versions = new Versions(gateway);
             DiscoveryWatch discovery = new DiscoveryWatch(vertx, config.discovery(), config.settings(),
-                    new SplittableRandom(config.seed()), versions::discovered);
+                    new SplittableRandom(config.seed()), versions);
             program.atEnd(gateway, front::drain);
             if (membership != null) {
                 program.phases().watch(phase -> {
@@ -115,7 +115,7 @@
     }
 
     /** The gateway by agreed versions; without any, by its own file and by discovery. On the gateway's event loop. */
-    private static final class Versions {
+    private static final class Versions implements DiscoveryWatch.Listener {
         private final Gateway gateway;
         private AgreedState.Acting acting;
 
@@ -165,12 +165,18 @@
         }
 
         /** Discovery's word holds where no agreed version has the list. */
-        void discovered(boolean whole, List<AppNode> lines) {
+        @Override
+        public void told(boolean whole, List<AppNode> lines) {
             if (acting == null || acting.nodes() == null) {
                 gateway.nodesTold(whole, cold(lines));
             }
         }
 
+        @Override
+        public void untold(boolean refused) {
+            gateway.listUntold(refused);
+        }
+
         boolean hold() {
             return acting != null;
         }
--- a/gateway/src/test/java/opalcove/platform/DiscoveryWatchTest.java
+++ b/gateway/src/test/java/opalcove/platform/DiscoveryWatchTest.java
@@ -11,7 +11,9 @@
 import java.net.InetAddress;
 import java.net.ServerSocket;
 import java.net.Socket;
+import java.net.SocketTimeoutException;
 import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
 import java.util.Collections;
 import java.util.HashSet;
 import java.util.List;
@@ -100,8 +102,123 @@
         }
     }
 
+    /**
+     * The same where a watch has been silent for long: a pushed list's waits have grown then, and its agent learns at its
+     * return what counts as told at once. A connection that was tried before the return may never come up.
+     */
+    @Test
+    public void afterALongSilenceAPushedListIsHeardWithinTheSecond() {
+        for (int seed = 0; seed < 14; seed++) {
+            DiscoveryWatch.Pace pace = DiscoveryWatch.Pace.of(settings("pushed"), new SplittableRandom(seed));
+            for (int failed = 0; failed < 50; failed++) {
+                assertTrue(longestGap(pace) < 1000);
+            }
+        }
+    }
+
     private static double longestGap(DiscoveryWatch.Pace pace) {
-        return pace.waitMs() + pace.silenceMs() + pace.again().next();
+        return Math.max(pace.connectMs(), pace.waitMs() + pace.silenceMs()) + pace.again().next();
+    }
+
+    /** A connection hangs in an agent's full backlog: it is given up within the silence, not after a second, and tried anew. */
+    @Test
+    public void aConnectionThatNeverComesUpIsGivenUpWithinTheSilence() throws Exception {
+        Queue<Boolean> untold = new ConcurrentLinkedQueue<>();
+        Queue<Long> at = new ConcurrentLinkedQueue<>();
+        CompletableFuture<Void> again = new CompletableFuture<>();
+        CountDownLatch listed = new CountDownLatch(1);
+        int silenceMs = 600;
+        try (ServerSocket agent = new ServerSocket(0, 1, InetAddress.getByName("127.0.0.1"))) {
+            agent.setSoTimeout(20_000);
+            DiscoveryWatch.Pace pace = new DiscoveryWatch.Pace(10_000, silenceMs, 0, new GrowingWait(1, 2,
+                    new SplittableRandom(1)));
+            assertEquals(pace.connectMs(), silenceMs);
+            watch(agent.getLocalPort(), pace, new DiscoveryWatch.Listener() {
+                @Override
+                public void told(boolean whole, List<AppNode> lines) {
+                    listed.countDown();
+                }
+
+                @Override
+                public void untold(boolean refused) {
+                    untold.add(refused);
+                    at.add(System.nanoTime());
+                    if (untold.size() == 4) {
+                        again.complete(null);
+                    }
+                }
+            });
+            List<Socket> full = new ArrayList<>();
+            try (Socket line = agent.accept()) {
+                call(line);
+                // From here on the kernel answers no SYN: its queue of this listener is full.
+                for (int i = 0; i < 4; i++) {
+                    Socket filler = new Socket();
+                    full.add(filler);
+                    try {
+                        filler.connect(agent.getLocalSocketAddress(), 100);
+                    } catch (SocketTimeoutException e) {
+                        break;
+                    }
+                }
+                String list = "{\"index\":4,\"snapshot\":true,\"endpoints\":[" + NODE + "]}";
+                line.getOutputStream().write(("HTTP/1.1 200 OK\r\nContent-Length: " + list.length() + "\r\n\r\n" + list)
+                        .getBytes(StandardCharsets.US_ASCII));
+                call(line);
+            }
+            // The first failure is the end of that watch, the later ones are connections.
+            again.get(20, TimeUnit.SECONDS);
+            assertEquals(listed.getCount(), 0);
+            assertEquals(List.copyOf(untold).subList(0, 4), Collections.nCopies(4, false));
+            List<Long> ends = List.copyOf(at);
+            // The rule's own second; the shortest of three tries, so that a machine that is held up once does not count.
+            assertTrue(IntStream.range(1, 4).mapToLong(i -> ends.get(i) - ends.get(i - 1)).min().orElseThrow()
+                    < TimeUnit.SECONDS.toNanos(1), ends + "");
+            for (Socket filler : full) {
+                filler.close();
+            }
+        }
+    }
+
+    /** Changes up to an earlier version name a node that has been drained since as up: they are refused, the whole list follows. */
+    @Test
+    public void changesThatGoBackwardsAreRefusedAndTheWholeListIsAskedFor() throws Exception {
+        Queue<String> calls = new ConcurrentLinkedQueue<>();
+        Queue<String> told = new ConcurrentLinkedQueue<>();
+        Queue<Boolean> untold = new ConcurrentLinkedQueue<>();
+        CompletableFuture<Void> over = new CompletableFuture<>();
+        String draining = NODE.replace("\"up\"", "\"draining\"");
+        Queue<String> answers = new ConcurrentLinkedQueue<>(List.of(
+                "{\"index\":4,\"snapshot\":true,\"endpoints\":[" + NODE + "]}",
+                "{\"index\":6,\"snapshot\":false,\"endpoints\":[" + draining + "]}",
+                "{\"index\":5,\"snapshot\":false,\"endpoints\":[" + NODE + "]}",
+                "{\"index\":7,\"snapshot\":true,\"endpoints\":[" + draining + "]}"));
+        int port = serve(call -> {
+            calls.add(call.uri().replaceAll("&.*", ""));
+            String answer = answers.poll();
+            if (answer == null) {
+                over.complete(null);
+            } else {
+                call.response().end(answer);
+            }
+        });
+        watch(port, new DiscoveryWatch.Pace(10_000, 20_000, 0, new GrowingWait(1, 2, new SplittableRandom(1))),
+                new DiscoveryWatch.Listener() {
+                    @Override
+                    public void told(boolean whole, List<AppNode> lines) {
+                        lines.forEach(line -> told.add(line.host().state().name()));
+                    }
+
+                    @Override
+                    public void untold(boolean refused) {
+                        untold.add(refused);
+                    }
+                });
+        over.get(20, TimeUnit.SECONDS);
+        assertEquals(List.copyOf(calls), List.of("/v1/endpoints", "/v1/endpoints?since=4", "/v1/endpoints?since=6",
+                "/v1/endpoints", "/v1/endpoints?since=7"));
+        assertEquals(List.copyOf(told), List.of("UP", "DRAINING", "DRAINING"));
+        assertEquals(List.copyOf(untold), List.of(true));
     }
 
     /** Two watches are never answered: the list goes on, and hears of a drain that it missed. */
