--- /dev/null
+++ b/cli/src/test/java/opalcove/cli/KnownRedTest.java
@@ -0,0 +1,102 @@
+package opalcove.cli;
+
+import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertTrue;
+
+import java.io.IOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.Comparator;
+import java.util.concurrent.TimeUnit;
+import java.util.stream.Stream;
+import org.testng.annotations.AfterMethod;
+import org.testng.annotations.BeforeMethod;
+import org.testng.annotations.Test;
+
+/** Which runs of the tests land where KNOWN-RED.txt names some of them. */
+public class KnownRedTest {
+    private static final String NAMED = "a.BTest.held | the link is not looked at | 29\n";
+
+    private Path root;
+
+    @BeforeMethod
+    public void make() throws IOException {
+        root = Files.createTempDirectory("known-red");
+    }
+
+    @AfterMethod
+    public void clear() throws IOException {
+        try (Stream<Path> all = Files.walk(root)) {
+            for (Path each : all.sorted(Comparator.reverseOrder()).toList()) {
+                Files.delete(each);
+            }
+        }
+    }
+
+    private void ran(String module, String cases) throws IOException {
+        Path reports = Files.createDirectories(root.resolve(module).resolve("target/surefire-reports"));
+        Files.writeString(reports.resolve("TEST-a.BTest.xml"), "<testsuite>" + cases + "</testsuite>");
+    }
+
+    private static String green(String name) {
+        return "<testcase name=\"" + name + "\" classname=\"a.BTest\" time=\"0.1\"/>";
+    }
+
+    private static String red(String name) {
+        return "<testcase name=\"" + name + "\" classname=\"a.BTest\"><failure message=\"x\">at y</failure></testcase>";
+    }
+
+    private static String broken(String name) {
+        return "<testcase name=\"" + name + "\" classname=\"a.BTest\"><error message=\"x\">at y</error></testcase>";
+    }
+
+    /** Judges the run; what was printed. */
+    private String judged(int exit, String named) throws Exception {
+        Files.writeString(root.resolve("KNOWN-RED.txt"), named);
+        Path output = root.resolve("output");
+        Process judge = new ProcessBuilder(Path.of(System.getProperty("java.home"), "bin", "java").toString(),
+                ".ci/KnownRed.java", root.toString()).redirectErrorStream(true).redirectOutput(output.toFile()).start();
+        assertTrue(judge.waitFor(2, TimeUnit.MINUTES));
+        String text = Files.readString(output);
+        assertEquals(judge.exitValue(), exit, text);
+        return text;
+    }
+
+    @Test
+    public void aNamedTestMayFailAndIsPrinted() throws Exception {
+        ran("gateway", green("other") + red("held"));
+        assertEquals(judged(0, NAMED), "known red: " + NAMED);
+        ran("gateway", green("other") + broken("held"));
+        assertEquals(judged(0, NAMED), "known red: " + NAMED);
+        ran("gateway", green("other") + green("held"));
+        assertEquals(judged(0, NAMED), "known red, but green in this run: " + NAMED);
+    }
+
+    @Test
+    public void anyOtherFailureDoesNotLand() throws Exception {
+        ran("gateway", red("held"));
+        ran("mqtt", red("other"));
+        assertEquals(judged(1, NAMED), "known red: " + NAMED + "failed: a.BTest.other\n");
+        ran("mqtt", broken("other"));
+        assertEquals(judged(1, NAMED), "known red: " + NAMED + "failed: a.BTest.other\n");
+        // Another exchange of the same test is another test.
+        ran("mqtt", red("held[2]"));
+        assertEquals(judged(1, NAMED), "known red: " + NAMED + "failed: a.BTest.held[2]\n");
+    }
+
+    @Test
+    public void aFourthLineALineOfAnotherFormAndOneThatNamesNoTestDoNotLand() throws Exception {
+        ran("gateway", green("held") + green("b") + green("c") + green("d"));
+        String three = NAMED + NAMED.replace("held", "b") + NAMED.replace("held", "c");
+        judged(0, three);
+        assertTrue(judged(1, three + NAMED.replace("held", "d")).contains("4 lines, more than 3"));
+        assertTrue(judged(1, "a.BTest.held\n").contains("not TEST | CAUSE | ISSUE: a.BTest.held"));
+        assertTrue(judged(1, "a.BTest.held | | 29\n").contains("not TEST | CAUSE | ISSUE"));
+        assertTrue(judged(1, NAMED.replace("held", "gone")).contains("names no test that was run: a.BTest.gone"));
+    }
+
+    @Test
+    public void aRunWithoutTestsDoesNotLand() throws Exception {
+        assertTrue(judged(1, "").contains("no test was run"));
+    }
+}
