--- a/gateway/src/main/java/opalcove/platform/Serve.java
+++ b/gateway/src/main/java/opalcove/platform/Serve.java
@@ -213,7 +213,7 @@
      * What the operators' door sees of the gateway. Until the gateway is wired, the process is starting; afterwards
      * state is read from the door's thread, so what it reads is published here, and what it does goes to the event loop.
      */
-    private static final class Door implements Console.Gateway {
+    static final class Door implements Console.Gateway {
         private volatile Phases.Phase phase = Phases.Phase.STARTING;
         private volatile boolean away;
         private Vertx vertx;
--- a/gateway/src/test/java/opalcove/platform/EndCrossingsTest.java
+++ b/gateway/src/test/java/opalcove/platform/EndCrossingsTest.java
@@ -142,6 +142,29 @@
         }
     }
 
+    /** The operators' door is open before there is a front: what it was told last holds once there is one. */
+    @Test
+    public void aDrainThatComesBeforeThereIsAFrontIsKeptForIt() throws Exception {
+        for (boolean taken : new boolean[] {false, true}) {
+            try (Stage stage = new Stage()) {
+                Serve.Door door = new Serve.Door();
+                door.sendAway(true);
+                if (taken) {
+                    door.sendAway(false);
+                }
+                stage.onLoop(() -> door.serve(stage.vertx, stage.gateway, stage.front, stage.phases));
+                Socket terminal = stage.terminal();
+                Stage.say(terminal, Stage.PING);
+                assertEquals(Stage.answer(terminal), taken ? "+PONG" : "-ERR draining");
+                door.sendAway(false);
+                stage.onLoop(() -> { });
+                Socket next = stage.terminal();
+                Stage.say(next, Stage.PING);
+                assertEquals(Stage.answer(next), "+PONG");
+            }
+        }
+    }
+
     /** Told to end before its list was there: a front that opened then would take asks that the process's end cuts off. */
     @Test
     public void aProgramThatIsToldToEndWhileItStartsDoesNotOpenItsFront() {
