--- a/gateway/src/main/java/opalcove/gateway/Alarms.java
+++ b/gateway/src/main/java/opalcove/gateway/Alarms.java
@@ -113,11 +113,15 @@
     private void ring() {
         armedFor = Double.MAX_VALUE;
         double now = clock.now();
-        while (size > 0 && heap[0].due <= now) {
-            Alarm next = heap[0];
-            cancel(next);
-            next.ring();
+        try {
+            while (size > 0 && heap[0].due <= now) {
+                Alarm next = heap[0];
+                cancel(next);
+                next.ring();
+            }
+        } finally {
+            // Guards all other asks' deadlines against a slip in one alarm: unarmed, none would ring again.
+            arm();
         }
-        arm();
     }
 }
--- a/gateway/src/test/java/opalcove/gateway/AlarmsTest.java
+++ b/gateway/src/test/java/opalcove/gateway/AlarmsTest.java
@@ -54,6 +54,28 @@
         vertx.close().toCompletionStage().toCompletableFuture().get(20, TimeUnit.SECONDS);
     }
 
+    /** One fails: those that are due with it and those that come later go off all the same. */
+    @Test
+    public void oneThatFailsHoldsUpNoOther() throws Exception {
+        Vertx vertx = Vertx.vertx();
+        List<String> rung = new ArrayList<>();
+        CompletableFuture<Void> last = new CompletableFuture<>();
+        vertx.runOnContext(go -> {
+            Vertx.currentContext().exceptionHandler(failed -> rung.add(failed.getMessage()));
+            Clock clock = new Clock();
+            Alarms alarms = new Alarms(vertx, clock);
+            double soon = clock.now() + 20;
+            alarms.setAt(soon, alarm(() -> {
+                throw new IllegalStateException("fails");
+            }));
+            alarms.setAt(soon, alarm(() -> rung.add("due with it")));
+            alarms.setAt(soon + 20, alarm(() -> last.complete(null)));
+        });
+        last.get(20, TimeUnit.SECONDS);
+        assertEquals(rung, List.of("fails", "due with it"));
+        vertx.close().toCompletionStage().toCompletableFuture().get(20, TimeUnit.SECONDS);
+    }
+
     @Test
     public void theyGoOffInTheOrderOfTheirTimesUnlessCancelled() throws Exception {
         Vertx vertx = Vertx.vertx();
