--- a/gateway/src/main/java/opalcove/platform/DiscoveryWatch.java
+++ b/gateway/src/main/java/opalcove/platform/DiscoveryWatch.java
@@ -11,6 +11,7 @@
 import io.vertx.core.http.HttpMethod;
 import io.vertx.core.http.RequestOptions;
 import java.util.List;
+import java.util.concurrent.TimeUnit;
 import java.util.random.RandomGenerator;
 import opalcove.decision.Admission;
 import opalcove.gateway.AppNode;
@@ -72,6 +73,14 @@
     /** Failed calls after which a list that has not come yet is not waited for: it does not answer. */
     private static final int FAILS_OF_SILENCE = 2;
 
+    /**
+     * A list is fresh that was taken in so soon after it was asked for, ms. Older than that its agent may have learnt of a
+     * drain meanwhile, and the second in which sends have to stop began then.
+     */
+    private static final long FRESH_MS = 300;
+    /** Calls that may come back late before a process that is always slow opens its front all the same. */
+    private static final int MOST_LATE = 8;
+
     private final Promise<Void> first = Promise.promise();
     private final Promise<Void> firstWord = Promise.promise();
     private final Pace pace;
@@ -83,6 +92,9 @@
     private boolean silent;
     private boolean started;
     private int failsBeforeFirst;
+    /** Somebody waits for the first word. */
+    private boolean wordAwaited;
+    private int late;
 
     public DiscoveryWatch(Vertx vertx, Endpoint address, Admission.Settings settings, RandomGenerator random,
                           Listener listener) {
@@ -121,14 +133,23 @@
     }
 
     /**
-     * Succeeds once the first list has come, or once discovery does not answer. Guards nodes that were drained before this
-     * process started, of which its agent's word counts as told: while a call is on its way its answer is waited for, also
-     * by a process that is so slow in its first second that the answer has lain there all the while.
+     * Succeeds once a fresh list is known, or once discovery does not answer. Guards nodes that were drained while this
+     * process started, of which its agent's word counts as told from its first moment: while a call is on its way its answer
+     * is waited for, and a list that was long on its way, as the first one of a process on a part of a core is, may have been
+     * overtaken by a drain, so what came since is asked for.
      */
     public Future<Void> firstWord() {
+        wordAwaited = true;
         return firstWord.future();
     }
 
+    /** A call that began then has been answered, and its list taken in. */
+    private void heard(long askedAt) {
+        if (System.nanoTime() - askedAt <= TimeUnit.MILLISECONDS.toNanos(FRESH_MS) || ++late >= MOST_LATE) {
+            firstWord.tryComplete();
+        }
+    }
+
     /** Follows discovery at another address from now on, whole list first; until that comes the last list holds. */
     public void moveTo(Endpoint elsewhere) {
         if (elsewhere.equals(address)) {
@@ -170,10 +191,17 @@
     /** The next call goes out once an answer is taken in: a watch lasts while it is renewed within 200 ms. */
     private void watch() {
         int move = moves;
+        long askedAt = System.nanoTime();
+        // Before the first word nothing is waited for but what has come already.
+        int waitMs = wordAwaited && !firstWord.future().isComplete() ? 1 : pace.waitMs();
         Future<Void> call = index < 0 ? call("/v1/endpoints", pace.silenceMs(), move)
-                : call("/v1/endpoints?since=" + index + "&timeout_ms=" + pace.waitMs(),
-                        pace.waitMs() + pace.silenceMs(), move);
-        call.onComplete(answer -> next(answer.succeeded(), move));
+                : call("/v1/endpoints?since=" + index + "&timeout_ms=" + waitMs, waitMs + pace.silenceMs(), move);
+        call.onComplete(answer -> {
+            if (answer.succeeded()) {
+                heard(askedAt);
+            }
+            next(answer.succeeded(), move);
+        });
     }
 
     private Future<Void> call(String uri, int silenceMs, int move) {
@@ -233,7 +261,6 @@
                 listener.told(whole, lines);
             }
             first.tryComplete();
-            firstWord.tryComplete();
             return Future.succeededFuture();
         } catch (BadSettings e) {
             return Future.failedFuture(e);
--- a/gateway/src/test/java/opalcove/platform/DiscoveryWatchTest.java
+++ b/gateway/src/test/java/opalcove/platform/DiscoveryWatchTest.java
@@ -318,7 +318,11 @@
     public void theFirstWordIsTheListOrThatThereIsNoAnswer() throws Exception {
         CompletableFuture<HttpServerRequest> held = new CompletableFuture<>();
         Queue<AppNode> told = new ConcurrentLinkedQueue<>();
-        DiscoveryWatch watch = watch(serve(held::complete), new DiscoveryWatch.Pace(10_000, 20_000, 0,
+        DiscoveryWatch watch = watch(serve(call -> {
+            if (!held.complete(call)) {
+                call.response().end("{\"index\":4,\"snapshot\":false,\"endpoints\":[]}");
+            }
+        }), new DiscoveryWatch.Pace(10_000, 20_000, 0,
                 new GrowingWait(1, 2, new SplittableRandom(1))), (whole, lines) -> told.addAll(lines));
         HttpServerRequest call = held.get(20, TimeUnit.SECONDS);
         assertFalse(watch.firstWord().isComplete(), "opens while the list is on its way");
@@ -336,6 +340,36 @@
         assertEquals(told.size(), 1);
     }
 
+    /**
+     * A drain overtakes the first list, which is long on its way to a process that is slow in its first second: what came
+     * since is asked for, without a wait, before the front opens.
+     */
+    @Test
+    public void aListThatWasLongOnItsWayIsNoFirstWord() throws Exception {
+        Queue<String> calls = new ConcurrentLinkedQueue<>();
+        Queue<String> told = new ConcurrentLinkedQueue<>();
+        int port = serve(call -> {
+            calls.add(call.uri());
+            if (calls.size() == 1) {
+                // Held for longer than a list is fresh.
+                vertx.setTimer(400, late -> call.response().end("{\"index\":4,\"snapshot\":true,\"endpoints\":[" + NODE + "]}"));
+            } else {
+                call.response().end("{\"index\":5,\"snapshot\":false,\"endpoints\":["
+                        + (calls.size() == 2 ? NODE.replace("\"up\"", "\"draining\"") : "") + "]}");
+            }
+        });
+        CompletableFuture<List<String>> knownAtTheWord = new CompletableFuture<>();
+        vertx.runOnContext(start -> {
+            DiscoveryWatch watch = new DiscoveryWatch(vertx, new Endpoint("127.0.0.1", port), new DiscoveryWatch.Pace(10_000,
+                    20_000, 0, new GrowingWait(1, 2, new SplittableRandom(1))), (whole, lines) -> lines.forEach(line ->
+                            told.add(line.host().state().name())));
+            watch.firstWord().onSuccess(word -> knownAtTheWord.complete(List.copyOf(told)));
+            watch.start();
+        });
+        assertEquals(knownAtTheWord.get(20, TimeUnit.SECONDS), List.of("UP", "DRAINING"));
+        assertEquals(List.copyOf(calls).subList(0, 2), List.of("/v1/endpoints", "/v1/endpoints?since=4&timeout_ms=1"));
+    }
+
     /** SIGHUP came while the process started: one watch, at the new address, of its whole list. */
     @Test
     public void aMoveBeforeTheStartLeavesOneWatch() throws Exception {
