--- a/cli/src/test/java/opalcove/cli/ProgramTest.java
+++ b/cli/src/test/java/opalcove/cli/ProgramTest.java
@@ -148,6 +148,38 @@
         }
     }
 
+    /** Started where SIGHUP is ignored, as under nohup, the JVM leaves it so: that is told, for the file would not be read. */
+    @Test
+    public void aSighupThatCannotBeHeardIsTold() throws Exception {
+        Path config = Files.createTempFile("config", ".json");
+        try (ServerSocket silent = discovery()) {
+            Files.writeString(config, Files.readString(Path.of("example/config.json")).replace("127.0.0.1:7100", "127.0.0.1:0")
+                    .replace("127.0.0.1:7101", "127.0.0.1:" + silent.getLocalPort()));
+            for (String ignored : new String[] {"", "trap '' HUP; "}) {
+                List<String> command = new ArrayList<>(List.of("sh", "-c", ignored + "exec \"$@\"", "sh"));
+                command.addAll(program("serve"));
+                ProcessBuilder builder = new ProcessBuilder(command).redirectErrorStream(true);
+                builder.environment().put("GW_CONFIG", config.toString());
+                Process gateway = builder.start();
+                try (BufferedReader log = gateway.inputReader()) {
+                    List<String> before = new ArrayList<>();
+                    for (String line = log.readLine(); line != null && !line.contains("phase SERVING"); line = log.readLine()) {
+                        before.add(line);
+                    }
+                    assertEquals(before.stream().anyMatch(line -> line.contains("SIGHUP was ignored")), !ignored.isEmpty(),
+                            before + "");
+                    signal("-TERM", gateway);
+                    log.lines().forEach(line -> { });
+                    assertEquals(gateway.waitFor(), 0);
+                } finally {
+                    gateway.destroyForcibly();
+                }
+            }
+        } finally {
+            Files.delete(config);
+        }
+    }
+
     private static void until(BufferedReader log, String text) throws Exception {
         String line = log.readLine();
         while (line != null && !line.contains(text)) {
--- a/gateway/src/main/java/opalcove/platform/Hangups.java
+++ b/gateway/src/main/java/opalcove/platform/Hangups.java
@@ -1,6 +1,7 @@
 package opalcove.platform;
 
 import java.lang.reflect.Proxy;
+import org.tinylog.Logger;
 
 /**
  * Hears SIGHUP, by which the platform tells that the configuration file was replaced, from its making on. What comes
@@ -22,8 +23,13 @@
                         heard();
                         return null;
                     });
-            signal.getMethod("handle", signal, handler)
+            Object before = signal.getMethod("handle", signal, handler)
                     .invoke(null, signal.getConstructor(String.class).newInstance("HUP"), hears);
+            if (before == handler.getField("SIG_IGN").get(null)) {
+                // Guards whoever counts on it: the JVM leaves a signal alone that is ignored from before, as under nohup.
+                Logger.error("SIGHUP was ignored when this process was started, and cannot be heard: a replaced"
+                        + " configuration file needs a restart");
+            }
         } catch (ReflectiveOperationException e) {
             throw new IllegalStateException("SIGHUP cannot be heard", e);
         }
