--- a/gateway/src/main/java/opalcove/gateway/Gateway.java
+++ b/gateway/src/main/java/opalcove/gateway/Gateway.java
@@ -33,6 +33,10 @@
     /** How often the nodes that are avoided are counted, ms: figures may lag by twice that. */
     private static final double AVOIDED_MS = 250;
 
+    /** A beat that comes so much too late shows that the event loop was held up, ms. */
+    private static final double HELD_UP_MS = 250;
+
+    private final Vertx vertx;
     private final Clock clock;
     private final Alarms alarms;
     private final NodeLinks links;
@@ -48,13 +52,17 @@
     private int retunes;
     private Generation current;
     private boolean inTurn;
+    /** When the event loop last came to its regular count. */
+    private double beatAt;
     /** When the process will be ended at the earliest. */
     private double endsAt = Double.MAX_VALUE;
     private Runnable whenNoneOpen;
     private Runnable beforeEachAsk;
 
     public Gateway(Vertx vertx, Clock clock, Admission.Settings settings, long seed, NodeLinks links) {
+        this.vertx = vertx;
         this.clock = clock;
+        beatAt = clock.now();
         alarms = new Alarms(vertx, clock);
         this.links = links;
         this.seed = seed;
@@ -228,13 +236,54 @@
             tellEnd(life, attempt, step.node(), NodeEnd.silent(Admission.Result.NOT_SENT));
             return;
         }
+        if (now - beatAt > AVOIDED_MS + HELD_UP_MS) {
+            attempt.running = new Unread(life, attempt, step);
+        } else {
+            send(life, attempt, step);
+        }
+    }
+
+    private void send(Life life, Life.Try attempt, Life.Step.SendTo step) {
         counters.attempts++;
         metrics.backendCall();
-        double left = life.takenAt + life.ask.waitMs() - now;
+        double left = life.takenAt + life.ask.waitMs() - clock.now();
         attempt.running = links.attempt(attempt.node, life.ask, step.timeoutMs() > 0 ? Math.min(left, step.timeoutMs())
                 : left, attempt);
     }
 
+    /**
+     * An attempt that was decided on while the event loop had been held up. Guards a node whose drain lies unread, and may
+     * have been told long ago: the attempt is made once all that came meanwhile has been read, if it still holds then.
+     */
+    private final class Unread implements NodeLinks.Attempt {
+        private final Life.Try attempt;
+        private boolean ended;
+
+        Unread(Life life, Life.Try attempt, Life.Step.SendTo step) {
+            this.attempt = attempt;
+            // By the time that a timer set now is due, the loop has read once more.
+            vertx.setTimer(1, read -> {
+                if (ended) {
+                    return;
+                }
+                if (stillWanted(life, attempt)) {
+                    ended = true;
+                    send(life, attempt, step);
+                } else {
+                    giveUp();
+                }
+            });
+        }
+
+        @Override
+        public void giveUp() {
+            if (!ended) {
+                ended = true;
+                attempt.ended(NodeEnd.silent(Admission.Result.NOT_SENT));
+            }
+        }
+    }
+
     /** A link has come up for the attempt: whether what was decided when it was dialled still holds. */
     boolean stillWanted(Life life, Life.Try attempt) {
         String lapsed = guards.lapsed(life, attempt, clock.now());
@@ -439,6 +488,7 @@
     private final class CountAvoided extends Alarms.Alarm {
         @Override
         void ring() {
+            beatAt = clock.now();
             tell(Gateway.this::countAvoided);
             alarms.set(AVOIDED_MS, this);
         }
--- a/gateway/src/test/java/opalcove/platform/LinkCrossingsTest.java
+++ b/gateway/src/test/java/opalcove/platform/LinkCrossingsTest.java
@@ -4,11 +4,20 @@
 import static org.testng.Assert.assertNotEquals;
 import static org.testng.Assert.assertTrue;
 
+import java.net.InetAddress;
+import java.net.ServerSocket;
 import java.net.Socket;
+import java.nio.charset.StandardCharsets;
+import java.util.List;
+import java.util.SplittableRandom;
 import java.util.concurrent.BlockingQueue;
 import java.util.concurrent.LinkedBlockingQueue;
 import java.util.concurrent.TimeUnit;
 import opalcove.decision.Admission.State;
+import opalcove.gateway.AppNode;
+import opalcove.gateway.Endpoint;
+import opalcove.gateway.GrowingWait;
+import opalcove.gateway.NodeLines;
 import org.testng.annotations.DataProvider;
 import org.testng.annotations.Test;
 
@@ -24,6 +33,64 @@
         return new Object[][] {{"true"}, {"false"}};
     }
 
+    /**
+     * The loop is held up; meanwhile an ask comes, and then a drain of the node to which it would go on a link at rest. Both
+     * lie unread as the loop goes on, the ask before the drain.
+     */
+    @Test
+    public void anAskIsNotSentToANodeWhoseDrainLiesUnreadBehindIt() throws Exception {
+        try (Stage stage = new Stage(); ServerSocket discovery = new ServerSocket(0, 8, InetAddress.getByName("127.0.0.1"))) {
+            Stage.Node first = stage.node("n1");
+            Stage.Node second = stage.node("n2");
+            discovery.setSoTimeout(20_000);
+            stage.onLoop(() -> {
+                new DiscoveryWatch(stage.vertx, new Endpoint("127.0.0.1", discovery.getLocalPort()),
+                        new DiscoveryWatch.Pace(60_000, 20_000, 0, new GrowingWait(1, 2, new SplittableRandom(1))),
+                        stage.gateway::nodesTold).start();
+            });
+            try (Socket agent = discovery.accept()) {
+                asked(agent);
+                list(agent, 4, first.is(State.UP), second.is(State.DRAINING));
+                asked(agent);
+                Socket terminal = stage.terminal();
+                Stage.say(terminal, Stage.query(1, 4000));
+                Stage.Line rested = first.accept();
+                rested.command();
+                rested.serve("one");
+                assertEquals(Stage.answer(terminal), "one");
+                stage.until("links_resting", 1);
+                stage.unread(() -> {
+                    Stage.say(terminal, Stage.query(2, 4000));
+                    list(agent, 5, first.is(State.DRAINING), second.is(State.UP));
+                    // As long as sends to a drained node are let pass.
+                    Thread.sleep(1000);
+                }, () -> { });
+                Stage.Line line = second.accept();
+                assertTrue(line.command().contains(Stage.id(2)));
+                line.serve("two");
+                assertEquals(Stage.answer(terminal), "two");
+                assertTrue(rested.ended(), "its node got a request");
+            }
+        }
+    }
+
+    /** Waits for a call of the list. */
+    private static void asked(Socket agent) throws Exception {
+        agent.setSoTimeout(20_000);
+        StringBuilder head = new StringBuilder();
+        while (head.indexOf("\r\n\r\n") < 0) {
+            int each = agent.getInputStream().read();
+            assertTrue(each >= 0, "the connection was given up");
+            head.append((char) each);
+        }
+    }
+
+    private static void list(Socket agent, long index, AppNode... nodes) throws Exception {
+        String list = NodeLines.write(index, true, List.of(nodes)).toString();
+        agent.getOutputStream().write(("HTTP/1.1 200 OK\r\nContent-Length: " + list.length() + "\r\n\r\n" + list)
+                .getBytes(StandardCharsets.US_ASCII));
+    }
+
     @Test
     public void anAskIsNotSentToANodeThatWasDrainedWhileItsLinkCameUp() throws Exception {
         try (Stage stage = new Stage()) {
