--- a/gateway/src/main/java/opalcove/platform/DiscoveryWatch.java
+++ b/gateway/src/main/java/opalcove/platform/DiscoveryWatch.java
@@ -92,8 +92,8 @@
     private boolean silent;
     private boolean started;
     private int failsBeforeFirst;
-    /** Somebody waits for the first word. */
-    private boolean wordAwaited;
+    /** Somebody waits for a fresh list. */
+    private boolean freshAwaited;
     private int late;
 
     public DiscoveryWatch(Vertx vertx, Endpoint address, Admission.Settings settings, RandomGenerator random,
@@ -133,19 +133,20 @@
     }
 
     /**
-     * Succeeds once a fresh list is known, or once discovery does not answer. Guards nodes that were drained while this
+     * Succeeds once a list is known, a fresh one where that is wanted, or once discovery does not answer. Guards nodes that were drained while this
      * process started, of which its agent's word counts as told from its first moment: while a call is on its way its answer
      * is waited for, and a list that was long on its way, as the first one of a process on a part of a core is, may have been
-     * overtaken by a drain, so what came since is asked for.
+     * overtaken by a drain, so what came since is asked for. Where one service is asked by all gateways and is slow itself,
+     * any list will do: nothing of it is told before it has answered.
      */
-    public Future<Void> firstWord() {
-        wordAwaited = true;
+    public Future<Void> firstWord(boolean fresh) {
+        freshAwaited = fresh;
         return firstWord.future();
     }
 
     /** A call that began then has been answered, and its list taken in. */
     private void heard(long askedAt) {
-        if (System.nanoTime() - askedAt <= TimeUnit.MILLISECONDS.toNanos(FRESH_MS) || ++late >= MOST_LATE) {
+        if (!freshAwaited || System.nanoTime() - askedAt <= TimeUnit.MILLISECONDS.toNanos(FRESH_MS) || ++late >= MOST_LATE) {
             firstWord.tryComplete();
         }
     }
@@ -193,7 +194,7 @@
         int move = moves;
         long askedAt = System.nanoTime();
         // Before the first word nothing is waited for but what has come already.
-        int waitMs = wordAwaited && !firstWord.future().isComplete() ? 1 : pace.waitMs();
+        int waitMs = freshAwaited && !firstWord.future().isComplete() ? 1 : pace.waitMs();
         Future<Void> call = index < 0 ? call("/v1/endpoints", pace.silenceMs(), move)
                 : call("/v1/endpoints?since=" + index + "&timeout_ms=" + waitMs, waitMs + pace.silenceMs(), move);
         call.onComplete(answer -> {
--- a/gateway/src/main/java/opalcove/platform/Serve.java
+++ b/gateway/src/main/java/opalcove/platform/Serve.java
@@ -80,10 +80,12 @@
             }
             hangups.listen(() -> reload(config, vertx, discovery, gateway, versions));
             // A list known from before may be out of date: asks must not go to a node that the agent could have told is
-            // gone: only where that does not answer must the known list do. Where one service has to be asked it will do, for waiting on that only keeps a gateway away longer.
-            boolean knownWillDo = config.settings().duties().listOnRequest() && !config.known().isEmpty();
+            // gone, and only where that does not answer must the known list do. Where one service has to be asked it will
+            // do, for waiting on that only keeps a gateway away longer.
+            boolean asked = config.settings().duties().listOnRequest();
+            boolean knownWillDo = asked && !config.known().isEmpty();
             discovery.startFrom(knownWillDo ? config.knownIndex() : DiscoveryWatch.NO_INDEX);
-            Future<?> first = knownWillDo ? Future.succeededFuture() : discovery.firstWord();
+            Future<?> first = knownWillDo ? Future.succeededFuture() : discovery.firstWord(!asked);
             (agreed == null ? first : first.eventually(() -> versions.follow(vertx, agreed,
                     membership == null ? List::of : membership::fleet)))
                     .onComplete(ready -> program.open(() -> front.listen(config.listen())));
