--- a/gateway/src/test/java/opalcove/platform/DiscoveryWatchTest.java
+++ b/gateway/src/test/java/opalcove/platform/DiscoveryWatchTest.java
@@ -407,7 +407,7 @@
     }
 
     /** The next call on this connection; its first line. */
-    private static String call(Socket line) throws Exception {
+    static String call(Socket line) throws Exception {
         line.setSoTimeout(20_000);
         StringBuilder head = new StringBuilder();
         while (head.indexOf("\r\n\r\n") < 0) {
--- a/gateway/src/test/java/opalcove/platform/LinkCrossingsTest.java
+++ b/gateway/src/test/java/opalcove/platform/LinkCrossingsTest.java
@@ -49,9 +49,9 @@
                         stage.gateway::nodesTold).start();
             });
             try (Socket agent = discovery.accept()) {
-                asked(agent);
+                DiscoveryWatchTest.call(agent);
                 list(agent, 4, first.is(State.UP), second.is(State.DRAINING));
-                asked(agent);
+                DiscoveryWatchTest.call(agent);
                 Socket terminal = stage.terminal();
                 Stage.say(terminal, Stage.query(1, 4000));
                 Stage.Line rested = first.accept();
@@ -74,17 +74,6 @@
         }
     }
 
-    /** Waits for a call of the list. */
-    private static void asked(Socket agent) throws Exception {
-        agent.setSoTimeout(20_000);
-        StringBuilder head = new StringBuilder();
-        while (head.indexOf("\r\n\r\n") < 0) {
-            int each = agent.getInputStream().read();
-            assertTrue(each >= 0, "the connection was given up");
-            head.append((char) each);
-        }
-    }
-
     private static void list(Socket agent, long index, AppNode... nodes) throws Exception {
         String list = NodeLines.write(index, true, List.of(nodes)).toString();
         agent.getOutputStream().write(("HTTP/1.1 200 OK\r\nContent-Length: " + list.length() + "\r\n\r\n" + list)
