--- a/cli/src/test/java/opalcove/cli/ProgramTest.java
+++ b/cli/src/test/java/opalcove/cli/ProgramTest.java
@@ -89,8 +89,7 @@
     public void sighupMovesDiscoveryAndABadFileChangesNothing() throws Exception {
         Path config = Files.createTempFile("config", ".json");
         try (ServerSocket first = discovery(); ServerSocket second = discovery()) {
-            String text = Files.readString(Path.of("example/config.json")).replace("127.0.0.1:7100", "127.0.0.1:0");
-            Files.writeString(config, text.replace("127.0.0.1:7101", "127.0.0.1:" + first.getLocalPort()));
+            Files.writeString(config, following(first));
             ProcessBuilder builder = new ProcessBuilder(program("serve")).redirectErrorStream(true);
             builder.environment().put("GW_CONFIG", config.toString());
             // The file that was replaced goes before the variable, which is as old as the process.
@@ -101,7 +100,7 @@
                 Files.writeString(config, "{\"discovery\":");
                 signal("-HUP", gateway);
                 until(log, "the old stays in force: " + config + ": malformed JSON");
-                Files.writeString(config, text.replace("127.0.0.1:7101", "127.0.0.1:" + second.getLocalPort()));
+                Files.writeString(config, following(second));
                 signal("-HUP", gateway);
                 try (Socket moved = second.accept()) {
                     assertEquals(call(moved), "GET /v1/endpoints HTTP/1.1");
@@ -125,8 +124,7 @@
     public void aTornFileAtSighupThatCrossesSigtermIsRefusedAndTheEndGoesOn() throws Exception {
         Path config = Files.createTempFile("config", ".json");
         try (ServerSocket silent = discovery()) {
-            String text = Files.readString(Path.of("example/config.json")).replace("127.0.0.1:7100", "127.0.0.1:0")
-                    .replace("127.0.0.1:7101", "127.0.0.1:" + silent.getLocalPort());
+            String text = following(silent);
             Files.writeString(config, text);
             ProcessBuilder builder = new ProcessBuilder(program("serve")).redirectErrorStream(true);
             builder.environment().put("GW_CONFIG", config.toString());
@@ -153,8 +151,7 @@
     public void aSighupThatCannotBeHeardIsTold() throws Exception {
         Path config = Files.createTempFile("config", ".json");
         try (ServerSocket silent = discovery()) {
-            Files.writeString(config, Files.readString(Path.of("example/config.json")).replace("127.0.0.1:7100", "127.0.0.1:0")
-                    .replace("127.0.0.1:7101", "127.0.0.1:" + silent.getLocalPort()));
+            Files.writeString(config, following(silent));
             for (String ignored : new String[] {"", "trap '' HUP; "}) {
                 List<String> command = new ArrayList<>(List.of("sh", "-c", ignored + "exec \"$@\"", "sh"));
                 command.addAll(program("serve"));
@@ -194,6 +191,12 @@
         return discovery;
     }
 
+    /** The example's configuration, at a free port and with the list of this discovery. */
+    private static String following(ServerSocket discovery) throws Exception {
+        return Files.readString(Path.of("example/config.json")).replace("127.0.0.1:7100", "127.0.0.1:0")
+                .replace("127.0.0.1:7101", "127.0.0.1:" + discovery.getLocalPort());
+    }
+
     private static String call(Socket socket) throws Exception {
         socket.setSoTimeout(60_000);
         StringBuilder line = new StringBuilder();
