--- a/cli/src/main/java/opalcove/cli/Opalcove.java
+++ b/cli/src/main/java/opalcove/cli/Opalcove.java
@@ -44,6 +44,7 @@
             GuardCommand.class,
             PairCommand.class,
             StartsCommand.class,
+            SoakCommand.class,
             Opalcove.AdapterCommand.class
         },
         exitCodeListHeading = "%nExit codes:%n",
--- /dev/null
+++ b/laboratory/src/main/java/opalcove/laboratory/soak/BackendLink.java
@@ -0,0 +1,292 @@
+package opalcove.laboratory.soak;
+
+import io.netty.bootstrap.Bootstrap;
+import io.netty.bootstrap.ServerBootstrap;
+import io.netty.buffer.ByteBuf;
+import io.netty.buffer.Unpooled;
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelFutureListener;
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.ChannelInboundHandlerAdapter;
+import io.netty.channel.ChannelInitializer;
+import io.netty.channel.ChannelOption;
+import io.netty.channel.EventLoopGroup;
+import io.netty.channel.socket.nio.NioServerSocketChannel;
+import io.netty.channel.socket.nio.NioSocketChannel;
+import java.net.InetSocketAddress;
+import java.nio.charset.StandardCharsets;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Set;
+import java.util.SplittableRandom;
+import java.util.concurrent.TimeUnit;
+import opalcove.laboratory.soak.History.Attempt;
+import opalcove.laboratory.soak.History.Request;
+
+/**
+ * The fault proxy between one gateway and one backend: the gateway is told this address as the backend's. It records each
+ * attempt as its bytes come, and makes the troubles of connections. Used on its event loop alone.
+ */
+final class BackendLink {
+    /** A listener that takes no connection holds so few that further ones never come up. */
+    private static final int BACKLOG = 1;
+
+    private static final int PIECE_BYTES = 7;
+    private static final int PIECE_MS = 4;
+    private static final int RESET_WITHIN_MS = 120;
+
+    private final int gateway;
+    private final int backend;
+    private final EventLoopGroup loop;
+    private final SoakClock clock;
+    private final History history;
+    private final SplittableRandom random;
+    private final Set<Connection> connections = new HashSet<>();
+    private Channel server;
+    private int port;
+    private int backendPort;
+    private boolean cut;
+    private double resetShare;
+    private boolean pieces;
+
+    BackendLink(int gateway, int backend, EventLoopGroup loop, SoakClock clock, History history, long seed) {
+        this.gateway = gateway;
+        this.backend = backend;
+        this.loop = loop;
+        this.clock = clock;
+        this.history = history;
+        random = new SplittableRandom(seed);
+    }
+
+    String address() {
+        return "127.0.0.1:" + port;
+    }
+
+    /** Opens the address, the same at each call; connections go on to the backend's own port. */
+    void open(int toPort) {
+        backendPort = toPort;
+        if (server == null) {
+            listen();
+        }
+    }
+
+    private void listen() {
+        var opening = new ServerBootstrap()
+                .group(loop)
+                .channel(NioServerSocketChannel.class)
+                .option(ChannelOption.SO_BACKLOG, cut ? BACKLOG : 256)
+                .option(ChannelOption.SO_REUSEADDR, true)
+                .option(ChannelOption.AUTO_READ, !cut)
+                .childOption(ChannelOption.TCP_NODELAY, true)
+                .childHandler(new ChannelInitializer<>() {
+                    @Override
+                    protected void initChannel(Channel channel) {
+                        channel.pipeline().addLast(new Connection(channel));
+                    }
+                })
+                .bind("127.0.0.1", port);
+        server = opening.channel();
+        if (port == 0) {
+            // The first time, which is before the traffic and not on the loop.
+            opening.syncUninterruptibly();
+            port = ((InetSocketAddress) server.localAddress()).getPort();
+        }
+    }
+
+    /** The backend's process has died: connections are reset, and new ones refused. */
+    void close() {
+        closeServer();
+        Set.copyOf(connections).forEach(Connection::reset);
+    }
+
+    private void closeServer() {
+        if (server != null) {
+            server.close();
+            server = null;
+        }
+    }
+
+    /** Connections fall silent and new ones do not come up; once that is over all of them are reset. */
+    void cut(boolean yes) {
+        if (cut == yes) {
+            return;
+        }
+        cut = yes;
+        if (server != null) {
+            closeServer();
+            listen();
+        }
+        if (!cut) {
+            Set.copyOf(connections).forEach(Connection::reset);
+        }
+    }
+
+    /** So many of the attempts have their connection reset under them. */
+    void resets(double share) {
+        resetShare = share;
+    }
+
+    /** Whether answers come in pieces. */
+    void pieces(boolean yes) {
+        pieces = yes;
+    }
+
+    /** One connection of the gateway, and that to the backend which belongs to it. */
+    private final class Connection extends ChannelInboundHandlerAdapter {
+        private final Channel fromGateway;
+        private final ByteBuf pending = Unpooled.buffer();
+        private Channel toBackend;
+        private Attempt out;
+        private double firstByteAt = -1;
+        private final ByteBuf early = Unpooled.buffer();
+        private boolean closed;
+
+        Connection(Channel fromGateway) {
+            this.fromGateway = fromGateway;
+        }
+
+        @Override
+        public void channelActive(ChannelHandlerContext context) {
+            connections.add(this);
+            var dialling = new Bootstrap()
+                    .group(context.channel().eventLoop())
+                    .channel(NioSocketChannel.class)
+                    .option(ChannelOption.TCP_NODELAY, true)
+                    .handler(new FromBackend())
+                    .connect("127.0.0.1", backendPort);
+            dialling.addListener(up -> {
+                if (!up.isSuccess() || closed) {
+                    dialling.channel().close();
+                    reset();
+                    return;
+                }
+                toBackend = dialling.channel();
+                if (early.isReadable()) {
+                    toBackend.writeAndFlush(early.copy());
+                    early.clear();
+                }
+            });
+        }
+
+        @Override
+        public void channelRead(ChannelHandlerContext context, Object message) {
+            ByteBuf bytes = (ByteBuf) message;
+            if (firstByteAt < 0) {
+                firstByteAt = clock.now();
+            }
+            pending.writeBytes(bytes, bytes.readerIndex(), bytes.readableBytes());
+            if (cut) {
+                bytes.release();
+            } else if (toBackend == null) {
+                early.writeBytes(bytes);
+                bytes.release();
+            } else {
+                toBackend.writeAndFlush(bytes);
+            }
+            for (List<String> command = RespCommands.next(pending);
+                    command != null;
+                    command = RespCommands.next(pending)) {
+                attempted(command);
+                firstByteAt = -1;
+            }
+            pending.discardReadBytes();
+        }
+
+        private void attempted(List<String> command) {
+            if (cut) {
+                // It never came to the backend.
+                return;
+            }
+            Request request = history.requests.get(command.get(2));
+            if (request == null) {
+                history.processViolations.add(new SoakViolation(
+                        SoakRule.OWN_VALUE, gateway, clock.now(), "an attempt for no request: " + command));
+                return;
+            }
+            int waitMs = Integer.parseInt(RespCommands.mark(command.get(3), "d"));
+            out = new Attempt(request, gateway, backend, firstByteAt, clock.now(), waitMs);
+            request.attempts.add(out);
+            history.attempts.add(out);
+            if (random.nextDouble() < resetShare) {
+                fromGateway.eventLoop().schedule(this::reset, random.nextInt(RESET_WITHIN_MS), TimeUnit.MILLISECONDS);
+            }
+        }
+
+        private void over(boolean turnedAway) {
+            if (out != null && out.overAt < 0) {
+                out.overAt = clock.now();
+                out.turnedAway = turnedAway;
+            }
+            out = null;
+        }
+
+        private void reset() {
+            if (!closed) {
+                fromGateway.config().setOption(ChannelOption.SO_LINGER, 0);
+                fromGateway.close();
+            }
+        }
+
+        @Override
+        public void channelInactive(ChannelHandlerContext context) {
+            closed = true;
+            connections.remove(this);
+            over(false);
+            if (toBackend != null) {
+                toBackend.close();
+            }
+        }
+
+        @Override
+        public void exceptionCaught(ChannelHandlerContext context, Throwable cause) {
+            context.close();
+        }
+
+        /** What the backend sends goes on to the gateway. */
+        private final class FromBackend extends ChannelInboundHandlerAdapter {
+            @Override
+            public void channelRead(ChannelHandlerContext context, Object message) {
+                ByteBuf bytes = (ByteBuf) message;
+                if (cut || closed) {
+                    bytes.release();
+                    return;
+                }
+                over(bytes.toString(StandardCharsets.US_ASCII).startsWith("-BUSY"));
+                if (pieces) {
+                    inPieces(bytes);
+                } else {
+                    fromGateway.writeAndFlush(bytes);
+                }
+            }
+
+            private void inPieces(ByteBuf bytes) {
+                int delayMs = 0;
+                while (bytes.isReadable()) {
+                    boolean many = bytes.readableBytes() > 20 * PIECE_BYTES;
+                    int length = many ? bytes.readableBytes() / 4 : Math.min(PIECE_BYTES, bytes.readableBytes());
+                    ByteBuf piece = bytes.readRetainedSlice(length);
+                    fromGateway
+                            .eventLoop()
+                            .schedule(() -> fromGateway.writeAndFlush(piece), delayMs, TimeUnit.MILLISECONDS);
+                    delayMs += PIECE_MS;
+                }
+                bytes.release();
+            }
+
+            @Override
+            public void channelInactive(ChannelHandlerContext context) {
+                if (!cut && !closed) {
+                    over(false);
+                    fromGateway.writeAndFlush(Unpooled.EMPTY_BUFFER).addListener(ChannelFutureListener.CLOSE);
+                }
+            }
+
+            @Override
+            public void exceptionCaught(ChannelHandlerContext context, Throwable cause) {
+                if (!cut) {
+                    reset();
+                }
+            }
+        }
+    }
+}
--- /dev/null
+++ b/laboratory/src/main/java/opalcove/laboratory/soak/ClientConnection.java
@@ -0,0 +1,249 @@
+package opalcove.laboratory.soak;
+
+import io.netty.bootstrap.Bootstrap;
+import io.netty.buffer.ByteBuf;
+import io.netty.buffer.Unpooled;
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.ChannelInboundHandlerAdapter;
+import io.netty.channel.ChannelOption;
+import io.netty.channel.EventLoopGroup;
+import io.netty.channel.socket.nio.NioSocketChannel;
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayDeque;
+import java.util.Deque;
+import java.util.Queue;
+import java.util.concurrent.TimeUnit;
+import opalcove.laboratory.soak.History.End;
+import opalcove.laboratory.soak.History.Request;
+import opalcove.laboratory.soak.History.Stall;
+
+/** One connection of a client to a gateway. Used on its event loop alone. */
+final class ClientConnection extends ChannelInboundHandlerAdapter {
+    /** Whose process the connection leads to. */
+    interface Gateway {
+        /** Whether what ends now is the doing of a signal that the soak sent, so that nothing is owed. */
+        boolean killed();
+    }
+
+    /** A command that waits for its answer; the request is null for one that is no request. */
+    private record Waiting(Request request) {}
+
+    private static final int ANSWER_KEPT = 64;
+
+    private final int number;
+    private final Gateway gateway;
+    private final SoakClock clock;
+    private final Queue<Waiting> waiting = new ArrayDeque<>();
+    private final Deque<String> writes = new ArrayDeque<>();
+    private Channel channel;
+    private final ByteBuf pending = Unpooled.buffer();
+    private boolean open = true;
+    private boolean used;
+    private Stall stall;
+    private double lastAnswerAt = -1;
+    /** Bytes of a long answer still to come, and what has come of its start. */
+    private int owed;
+
+    private ClientConnection(int number, Gateway gateway, SoakClock clock) {
+        this.number = number;
+        this.gateway = gateway;
+        this.clock = clock;
+    }
+
+    static ClientConnection open(int number, int port, Gateway gateway, EventLoopGroup loop, SoakClock clock) {
+        ClientConnection connection = new ClientConnection(number, gateway, clock);
+        var dialling = new Bootstrap()
+                .group(loop)
+                .channel(NioSocketChannel.class)
+                .option(ChannelOption.TCP_NODELAY, true)
+                .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, 3000)
+                .handler(connection)
+                .connect("127.0.0.1", port);
+        connection.channel = dialling.channel();
+        dialling.addListener(up -> {
+            if (!up.isSuccess()) {
+                connection.refused();
+            }
+        });
+        return connection;
+    }
+
+    int number() {
+        return number;
+    }
+
+    boolean isOpen() {
+        return open;
+    }
+
+    boolean isIdle() {
+        return open && waiting.isEmpty() && stall == null;
+    }
+
+    int waiting() {
+        return waiting.size();
+    }
+
+    @Override
+    public void channelActive(ChannelHandlerContext context) {
+        for (String text = writes.poll(); text != null; text = writes.poll()) {
+            writeNow(text);
+        }
+    }
+
+    /** No gateway was there: nothing was sent, and nothing is owed. */
+    private void refused() {
+        open = false;
+        waiting.forEach(each -> {
+            if (each.request() != null) {
+                each.request().ended(End.KILLED, clock.now());
+            }
+        });
+        waiting.clear();
+    }
+
+    /** Writes a request whole, or in that many pieces with so much time between them. */
+    void send(Request request, String text, int pieces, int betweenMs) {
+        waiting.add(new Waiting(request));
+        request.onUsedConnection = used;
+        used = true;
+        int length = Math.max(1, text.length() / pieces);
+        for (int i = 0; i < pieces; i++) {
+            int from = i * length;
+            boolean last = i == pieces - 1;
+            String piece = text.substring(from, last ? text.length() : from + length);
+            channel.eventLoop()
+                    .schedule(
+                            () -> {
+                                write(piece);
+                                if (last && open) {
+                                    request.sentAt = clock.now();
+                                }
+                            },
+                            (long) i * betweenMs,
+                            TimeUnit.MILLISECONDS);
+        }
+    }
+
+    /** Writes what is no request and gets one answer all the same. */
+    void sendOther(String text) {
+        waiting.add(new Waiting(null));
+        write(text);
+    }
+
+    /** Writes half a request and stops. */
+    void stall(Stall begun, String half) {
+        stall = begun;
+        write(half);
+    }
+
+    private void write(String text) {
+        if (channel.isActive()) {
+            writeNow(text);
+        } else if (open) {
+            writes.add(text);
+        }
+    }
+
+    private void writeNow(String text) {
+        channel.writeAndFlush(Unpooled.copiedBuffer(text, StandardCharsets.ISO_8859_1));
+    }
+
+    /** The client leaves, by a close or a reset; what it had asked for is owed no more. */
+    void leave(boolean reset) {
+        if (!open) {
+            return;
+        }
+        end(End.LEFT);
+        if (reset) {
+            channel.config().setOption(ChannelOption.SO_LINGER, 0);
+        }
+        channel.close();
+    }
+
+    private void end(End how) {
+        open = false;
+        double now = clock.now();
+        for (Waiting each : waiting) {
+            if (each.request() != null) {
+                each.request().ended(how, now);
+            }
+        }
+        waiting.clear();
+        if (stall != null && stall.endedAt < 0) {
+            stall.endedAt = now;
+        }
+    }
+
+    @Override
+    public void channelRead(ChannelHandlerContext context, Object message) {
+        ByteBuf bytes = (ByteBuf) message;
+        pending.writeBytes(bytes);
+        bytes.release();
+        while (takeAnswer()) {
+            // Answers come in the order of the commands.
+        }
+        pending.discardReadBytes();
+    }
+
+    private boolean takeAnswer() {
+        int lineEnd = pending.indexOf(pending.readerIndex(), pending.writerIndex(), (byte) '\n');
+        owed = 0;
+        if (lineEnd < 0) {
+            return false;
+        }
+        int start = pending.readerIndex();
+        String line = pending.toString(start, lineEnd - start - 1, StandardCharsets.ISO_8859_1);
+        if (!line.startsWith("$")) {
+            pending.readerIndex(lineEnd + 1);
+            answered(line.startsWith("-BUSY") ? End.REFUSED : End.FAILED, line);
+            return true;
+        }
+        int length = Integer.parseInt(line.substring(1));
+        if (pending.writerIndex() < lineEnd + 1 + length + 2) {
+            owed = length;
+            return false;
+        }
+        String value = pending.toString(lineEnd + 1, Math.min(length, ANSWER_KEPT), StandardCharsets.ISO_8859_1);
+        pending.readerIndex(lineEnd + 1 + length + 2);
+        answered(End.SERVED, value);
+        return true;
+    }
+
+    private void answered(End how, String answer) {
+        Waiting first = waiting.poll();
+        if (first == null) {
+            if (stall != null && stall.endedAt < 0) {
+                stall.endedAt = clock.now();
+            }
+            return;
+        }
+        if (first.request() != null) {
+            first.request().answer = answer;
+            first.request().turnAt = lastAnswerAt;
+            first.request().ended(how, clock.now());
+        }
+        lastAnswerAt = clock.now();
+    }
+
+    @Override
+    public void channelInactive(ChannelHandlerContext context) {
+        if (!open) {
+            return;
+        }
+        boolean killed = gateway.killed();
+        if (!killed && owed > 0) {
+            Waiting first = waiting.poll();
+            if (first != null && first.request() != null) {
+                first.request().ended(End.CUT, clock.now());
+            }
+        }
+        end(killed ? End.KILLED : End.CLOSED);
+    }
+
+    @Override
+    public void exceptionCaught(ChannelHandlerContext context, Throwable cause) {
+        context.close();
+    }
+}
--- /dev/null
+++ b/laboratory/src/main/java/opalcove/laboratory/soak/DiscoveryAgent.java
@@ -0,0 +1,277 @@
+package opalcove.laboratory.soak;
+
+import com.eclipsesource.json.JsonObject;
+import io.netty.bootstrap.ServerBootstrap;
+import io.netty.buffer.ByteBuf;
+import io.netty.buffer.Unpooled;
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.ChannelInitializer;
+import io.netty.channel.ChannelOption;
+import io.netty.channel.EventLoopGroup;
+import io.netty.channel.SimpleChannelInboundHandler;
+import io.netty.channel.socket.nio.NioServerSocketChannel;
+import io.netty.handler.codec.http.DefaultFullHttpResponse;
+import io.netty.handler.codec.http.FullHttpRequest;
+import io.netty.handler.codec.http.FullHttpResponse;
+import io.netty.handler.codec.http.HttpHeaderNames;
+import io.netty.handler.codec.http.HttpObjectAggregator;
+import io.netty.handler.codec.http.HttpResponseStatus;
+import io.netty.handler.codec.http.HttpServerCodec;
+import io.netty.handler.codec.http.HttpVersion;
+import io.netty.handler.codec.http.QueryStringDecoder;
+import java.net.InetSocketAddress;
+import java.nio.charset.StandardCharsets;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Set;
+import java.util.concurrent.Future;
+import java.util.concurrent.TimeUnit;
+
+/**
+ * Discovery as one gateway sees it. What it has told, and what counts as told though it did not arrive, is put down in the
+ * history's changes. Used on its event loop alone.
+ */
+final class DiscoveryAgent {
+    /** What a gateway misses counts as told so long after a watch fell silent, or discovery could be reached again, ms. */
+    private static final double MISSED_MS = 6000;
+    /** After SIGHUP a list that another address has counts as told so much later, ms. */
+    private static final double MOVED_MS = 4000;
+
+    private static final int MOST_REQUEST = 8192;
+
+    private final int gateway;
+    private final Fleet fleet;
+    private final List<String> addresses;
+    private final boolean pushed;
+    private final EventLoopGroup loop;
+    private final SoakClock clock;
+    private final History history;
+    private final Set<Watch> watches = new HashSet<>();
+    private final Set<Channel> connections = new HashSet<>();
+    private Channel server;
+    private int port;
+    private boolean silent;
+    private boolean torn;
+    private boolean wholeLists;
+    /** Since when a watch is hung, or below 0. */
+    private double hungAt = -1;
+    /** When the gateway was last told to follow this agent; below 0 while it is another's. */
+    private double followedAt = -1;
+
+    private boolean movedTo;
+
+    DiscoveryAgent(
+            int gateway,
+            Fleet fleet,
+            List<String> addresses,
+            boolean pushed,
+            EventLoopGroup loop,
+            SoakClock clock,
+            History history) {
+        this.gateway = gateway;
+        this.fleet = fleet;
+        this.addresses = addresses;
+        this.pushed = pushed;
+        this.loop = loop;
+        this.clock = clock;
+        this.history = history;
+        fleet.watch(entry -> changed());
+    }
+
+    int port() {
+        return port;
+    }
+
+    void open() {
+        var opening = new ServerBootstrap()
+                .group(loop)
+                .channel(NioServerSocketChannel.class)
+                .option(ChannelOption.SO_BACKLOG, 64)
+                .option(ChannelOption.SO_REUSEADDR, true)
+                .childOption(ChannelOption.TCP_NODELAY, true)
+                .childHandler(new ChannelInitializer<>() {
+                    @Override
+                    protected void initChannel(Channel channel) {
+                        connections.add(channel);
+                        channel.closeFuture().addListener(closed -> connections.remove(channel));
+                        channel.pipeline()
+                                .addLast(new HttpServerCodec(), new HttpObjectAggregator(MOST_REQUEST), new Calls());
+                    }
+                })
+                .bind("127.0.0.1", port);
+        server = opening.channel();
+        if (port == 0) {
+            // The first time, which is before the traffic and not on the loop.
+            opening.syncUninterruptibly();
+            port = ((InetSocketAddress) server.localAddress()).getPort();
+        }
+    }
+
+    /** The gateway follows this agent from its start on, or from a SIGHUP on. */
+    void followed(boolean yes, boolean bySignal) {
+        followedAt = yes ? clock.now() : -1;
+        movedTo = bySignal;
+        if (yes) {
+            tellWhatItHas();
+        }
+    }
+
+    /** Takes calls and answers none, and learns nothing. */
+    void silent(boolean yes) {
+        silent = yes;
+        if (!yes) {
+            hungAt = -1;
+            Set.copyOf(watches).forEach(Watch::answer);
+            tellWhatItHas();
+        }
+    }
+
+    /** Refuses connections, and has reset those that were open. */
+    void refuse(boolean yes) {
+        if (yes) {
+            server.close();
+            server = null;
+            resetConnections();
+        } else if (server == null) {
+            open();
+            tellWhatItHas();
+        }
+    }
+
+    /** The watches that are open now are never answered. */
+    void hang() {
+        if (!watches.isEmpty()) {
+            hungAt = clock.now();
+            watches.forEach(Watch::forget);
+            watches.clear();
+        }
+    }
+
+    void resetConnections() {
+        for (Channel each : List.copyOf(connections)) {
+            each.config().setOption(ChannelOption.SO_LINGER, 0);
+            each.close();
+        }
+    }
+
+    void torn(boolean yes) {
+        torn = yes;
+        if (!yes) {
+            tellWhatItHas();
+        }
+    }
+
+    /** Whether watches are answered with whole lists, which leave out what drains. */
+    void wholeLists(boolean yes) {
+        wholeLists = yes;
+    }
+
+    private boolean reachable() {
+        return server != null && !silent && followedAt >= 0;
+    }
+
+    private void changed() {
+        tellWhatItHas();
+        if (!silent) {
+            Set.copyOf(watches).forEach(Watch::answer);
+        }
+    }
+
+    /** Puts down from when on what discovery has counts as told, where that does not wait for its arrival. */
+    private void tellWhatItHas() {
+        if (!reachable()) {
+            return;
+        }
+        double now = clock.now();
+        double at = !pushed || torn ? now + MISSED_MS : hungAt >= 0 ? Math.max(now, hungAt + MISSED_MS) : now;
+        if (movedTo) {
+            at = Math.max(at, followedAt + MOVED_MS);
+        }
+        for (History.Change change : history.changes) {
+            told(change, at);
+        }
+    }
+
+    private void told(History.Change change, double at) {
+        double before = change.toldAt[gateway];
+        if (before < 0 || at < before) {
+            change.toldAt[gateway] = at;
+        }
+    }
+
+    /** The list has been written: what it has is told. */
+    private void written() {
+        double now = clock.now();
+        history.changes.forEach(change -> told(change, now));
+    }
+
+    private final class Calls extends SimpleChannelInboundHandler<FullHttpRequest> {
+        @Override
+        protected void channelRead0(ChannelHandlerContext context, FullHttpRequest request) {
+            QueryStringDecoder uri = new QueryStringDecoder(request.uri());
+            List<String> since = uri.parameters().get("since");
+            if (since == null) {
+                if (!silent) {
+                    write(context, fleet.whole(addresses, true));
+                }
+                return;
+            }
+            int waitMs = Integer.parseInt(uri.parameters().get("timeout_ms").get(0));
+            Watch watch = new Watch(context, Long.parseLong(since.get(0)));
+            watches.add(watch);
+            if (fleet.index() > watch.since && !silent) {
+                watch.answer();
+            } else {
+                watch.timer = context.executor().schedule(watch::answer, waitMs, TimeUnit.MILLISECONDS);
+            }
+        }
+
+        @Override
+        public void exceptionCaught(ChannelHandlerContext context, Throwable cause) {
+            context.close();
+        }
+    }
+
+    private void write(ChannelHandlerContext context, JsonObject list) {
+        String text = list.toString();
+        ByteBuf body = Unpooled.copiedBuffer(text, StandardCharsets.UTF_8);
+        FullHttpResponse response = new DefaultFullHttpResponse(HttpVersion.HTTP_1_1, HttpResponseStatus.OK, body);
+        response.headers().set(HttpHeaderNames.CONTENT_LENGTH, body.readableBytes());
+        if (torn) {
+            body.writerIndex(body.writerIndex() / 2);
+            context.writeAndFlush(response).addListener(sent -> context.close());
+            return;
+        }
+        context.writeAndFlush(response);
+        written();
+    }
+
+    /** A call that waits for news. */
+    private final class Watch {
+        private final ChannelHandlerContext context;
+        private final long since;
+        private Future<?> timer;
+
+        Watch(ChannelHandlerContext context, long since) {
+            this.context = context;
+            this.since = since;
+            context.channel().closeFuture().addListener(closed -> watches.remove(this));
+        }
+
+        void answer() {
+            if (silent || !watches.remove(this)) {
+                return;
+            }
+            forget();
+            boolean news = fleet.index() > since;
+            write(context, wholeLists && news ? fleet.whole(addresses, false) : fleet.changes(since, addresses));
+        }
+
+        void forget() {
+            if (timer != null) {
+                timer.cancel(false);
+            }
+        }
+    }
+}
--- /dev/null
+++ b/laboratory/src/main/java/opalcove/laboratory/soak/FaultShim.java
@@ -0,0 +1,160 @@
+package opalcove.laboratory.soak;
+
+import java.io.IOException;
+import java.io.InputStream;
+import java.nio.ByteOrder;
+import java.nio.MappedByteBuffer;
+import java.nio.channels.FileChannel;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.nio.file.StandardCopyOption;
+import java.nio.file.StandardOpenOption;
+import java.util.EnumMap;
+import java.util.Map;
+import java.util.Optional;
+import java.util.concurrent.TimeUnit;
+
+/**
+ * Commands the library {@code fault_shim.c} in one gateway process, over a file that both map. The library is built when it is
+ * first wanted, by the C compiler of this machine.
+ */
+final class FaultShim {
+    /** The calls that can be failed, in the library's order. */
+    enum Call {
+        ACCEPT,
+        SOCKET,
+        CONNECT,
+        READ,
+        WRITE,
+        WAIT,
+        CLOSE,
+        SYNC
+    }
+
+    /** Whose descriptor a call is made on, in the library's order. */
+    enum Kind {
+        FILE,
+        CLIENT,
+        BACKEND,
+        DISCOVERY
+    }
+
+    /** Linux's numbers for the errors that calls fail with. */
+    enum Errno {
+        SHORT_TRANSFER(0),
+        EINTR(4),
+        EIO(5),
+        ENFILE(23),
+        EMFILE(24),
+        ENOSPC(28),
+        EADDRNOTAVAIL(99),
+        ENETUNREACH(101),
+        ECONNABORTED(103),
+        ECONNRESET(104),
+        ENOBUFS(105),
+        ETIMEDOUT(110),
+        EHOSTUNREACH(113);
+
+        final int number;
+
+        Errno(int number) {
+            this.number = number;
+        }
+    }
+
+    private static final int CLOCK_HITS_AT = 8;
+    private static final int PORTS_AT = 16;
+    private static final int MOST_PORTS = 4;
+    private static final int RULES_AT = 32;
+    private static final int RULE_BYTES = 16;
+    private static final int HITS_IN_RULE = 8;
+    private static final int BYTES = RULES_AT + Call.values().length * Kind.values().length * RULE_BYTES;
+    private static final int COMPILE_S = 60;
+
+    private final Path file;
+    private final MappedByteBuffer control;
+
+    FaultShim(Path file) throws IOException {
+        this.file = file;
+        try (FileChannel channel =
+                FileChannel.open(file, StandardOpenOption.CREATE, StandardOpenOption.READ, StandardOpenOption.WRITE)) {
+            control = channel.map(FileChannel.MapMode.READ_WRITE, 0, BYTES);
+        }
+        control.order(ByteOrder.nativeOrder());
+    }
+
+    /** Builds the library in the folder; empty where this machine has no C compiler. */
+    static Optional<Path> build(Path folder) throws IOException, InterruptedException {
+        Path source = folder.resolve("fault_shim.c");
+        Path library = folder.resolve("fault_shim.so");
+        try (InputStream text = FaultShim.class.getResourceAsStream("fault_shim.c")) {
+            Files.copy(text, source, StandardCopyOption.REPLACE_EXISTING);
+        }
+        Process compiler;
+        try {
+            compiler = new ProcessBuilder(
+                            "cc", "-shared", "-fPIC", "-O2", "-o", library.toString(), source.toString(), "-ldl")
+                    .redirectErrorStream(true)
+                    .redirectOutput(folder.resolve("fault_shim.log").toFile())
+                    .start();
+        } catch (IOException noCompiler) {
+            return Optional.empty();
+        }
+        if (!compiler.waitFor(COMPILE_S, TimeUnit.SECONDS) || compiler.exitValue() != 0) {
+            throw new IOException(
+                    "fault_shim.c cannot be compiled: " + Files.readString(folder.resolve("fault_shim.log")));
+        }
+        return Optional.of(library);
+    }
+
+    /** Has a process load the library. */
+    void loadInto(ProcessBuilder process, Path library) {
+        process.environment().put("LD_PRELOAD", library.toString());
+        process.environment().put("SOAK_SHIM", file.toString());
+    }
+
+    /** The ports at which connections are taken for discovery's; all others are backends'. */
+    void discoveryPorts(int... ports) {
+        for (int i = 0; i < Math.min(ports.length, MOST_PORTS); i++) {
+            control.putInt(PORTS_AT + 4 * i, ports[i]);
+        }
+    }
+
+    /** One in so many calls fails so from now on. */
+    void fail(Call call, Kind kind, int oneIn, Errno errno) {
+        int at = at(call, kind);
+        control.putInt(at + 4, errno.number);
+        control.putInt(at, oneIn);
+    }
+
+    /** No calls of this kind fail any more. */
+    void heal(Call call, Kind kind) {
+        control.putInt(at(call, kind), 0);
+    }
+
+    /** The wall clock is so far ahead from now on. */
+    void shiftClock(long ms) {
+        control.putLong(0, TimeUnit.MILLISECONDS.toNanos(ms));
+    }
+
+    /** How often each call was failed, and how often the shifted clock was read. */
+    Map<Call, Long> hits() {
+        Map<Call, Long> hits = new EnumMap<>(Call.class);
+        for (Call call : Call.values()) {
+            long sum = 0;
+            for (Kind kind : Kind.values()) {
+                sum += control.getLong(at(call, kind) + HITS_IN_RULE);
+            }
+            hits.put(call, sum);
+        }
+        return hits;
+    }
+
+    long clockHits() {
+        return control.getLong(CLOCK_HITS_AT);
+    }
+
+    private static int at(Call call, Kind kind) {
+        return RULES_AT + (call.ordinal() * Kind.values().length + kind.ordinal()) * RULE_BYTES;
+    }
+}
--- /dev/null
+++ b/laboratory/src/main/java/opalcove/laboratory/soak/Fleet.java
@@ -0,0 +1,95 @@
+package opalcove.laboratory.soak;
+
+import com.eclipsesource.json.Json;
+import com.eclipsesource.json.JsonArray;
+import com.eclipsesource.json.JsonObject;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.function.Consumer;
+
+/** The list of backends, with its versions, as discovery has it. */
+final class Fleet {
+    /** One backend's entry, less its address, which differs from one gateway to the next. */
+    static final class Entry {
+        final int number;
+        final SoakBackendPlace place;
+        String status = "up";
+        long sinceMs;
+        /** The version that changed it last. */
+        long index;
+
+        Entry(int number, SoakBackendPlace place) {
+            this.number = number;
+            this.place = place;
+        }
+
+        String name() {
+            return "backend-" + number;
+        }
+    }
+
+    private final List<Entry> entries = new ArrayList<>();
+    private final List<Consumer<Entry>> watchers = new ArrayList<>();
+    private long index = 1;
+
+    Fleet(List<SoakBackendPlace> places) {
+        for (SoakBackendPlace place : places) {
+            entries.add(new Entry(entries.size(), place));
+        }
+    }
+
+    void watch(Consumer<Entry> watcher) {
+        watchers.add(watcher);
+    }
+
+    long index() {
+        return index;
+    }
+
+    Entry entry(int backend) {
+        return entries.get(backend);
+    }
+
+    void change(int backend, String status, long sinceMs) {
+        Entry entry = entries.get(backend);
+        entry.status = status;
+        entry.sinceMs = sinceMs;
+        entry.index = ++index;
+        watchers.forEach(watcher -> watcher.accept(entry));
+    }
+
+    /** The list in discovery's form, for a gateway that reaches the backends at these addresses. */
+    JsonObject whole(List<String> addresses, boolean withDraining) {
+        JsonArray lines = new JsonArray();
+        for (Entry each : entries) {
+            boolean listed = each.status.equals("up") || withDraining && each.status.equals("draining");
+            if (listed) {
+                lines.add(line(each, addresses));
+            }
+        }
+        return Json.object().add("index", index).add("snapshot", true).add("endpoints", lines);
+    }
+
+    /** What has changed since a version. */
+    JsonObject changes(long since, List<String> addresses) {
+        JsonArray lines = new JsonArray();
+        for (Entry each : entries) {
+            if (each.index > since) {
+                lines.add(line(each, addresses));
+            }
+        }
+        return Json.object().add("index", index).add("snapshot", false).add("endpoints", lines);
+    }
+
+    private static JsonObject line(Entry entry, List<String> addresses) {
+        return Json.object()
+                .add("name", entry.name())
+                .add("address", addresses.get(entry.number))
+                .add("zone", entry.place.zone())
+                .add("type", "std")
+                .add("group", entry.place.cell())
+                .add("status", entry.status)
+                .add("weight", 1.0)
+                .add("since_ms", entry.sinceMs);
+    }
+}
--- /dev/null
+++ b/laboratory/src/main/java/opalcove/laboratory/soak/GatewayProcess.java
@@ -0,0 +1,236 @@
+package opalcove.laboratory.soak;
+
+import com.eclipsesource.json.Json;
+import com.eclipsesource.json.JsonObject;
+import java.io.File;
+import java.io.IOException;
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.net.Socket;
+import java.net.StandardSocketOptions;
+import java.nio.charset.StandardCharsets;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Optional;
+import java.util.concurrent.TimeUnit;
+import java.util.regex.Matcher;
+import java.util.regex.Pattern;
+
+/** A gateway's process, its file and its log. Used by several threads. */
+final class GatewayProcess implements ClientConnection.Gateway {
+    /** A process that was told to end is killed no sooner than this, ms: the longest deadline counts as 3 s at the most. */
+    private static final int KILL_AFTER_MS = 3700;
+
+    private static final int PING_EVERY_MS = 25;
+    private static final int READY_MS = 10_000;
+    /** On a machine with other work a start may take longer before it counts as none at all, ms. */
+    private static final int PATIENCE_MS = 30_000;
+
+    private static final int DESCRIPTORS = 256;
+    private static final Pattern COUNTED_VIOLATION = Pattern.compile("rule_broken\\.(\\w+)=([1-9]\\d*)");
+    private static final Pattern COUNTED_SLIP =
+            Pattern.compile("(stopped_by_guards|ended_by_deadline_guard)=([1-9]\\d*)");
+
+    private final int number;
+    private final SoakPlan plan;
+    private final Path folder;
+    private final SoakClock clock;
+    private final List<SoakViolation> violations;
+    private final Socket holder = new Socket();
+    private final Optional<FaultShim> shim;
+    private final Optional<Path> library;
+    private volatile Process process;
+    /** The process that a signal of the soak is to end, or has ended. */
+    private volatile Process ending;
+
+    private volatile boolean killed;
+
+    GatewayProcess(
+            int number,
+            SoakPlan plan,
+            Path folder,
+            SoakClock clock,
+            Optional<Path> library,
+            List<SoakViolation> violations)
+            throws IOException {
+        this.number = number;
+        this.plan = plan;
+        this.folder = folder;
+        this.clock = clock;
+        this.library = library;
+        this.violations = violations;
+        shim = library.isPresent() ? Optional.of(new FaultShim(folder.resolve("shim-" + number))) : Optional.empty();
+        // Keeps the port for this gateway through its restarts: it does not listen, so nobody is connected meanwhile.
+        holder.setOption(StandardSocketOptions.SO_REUSEPORT, true);
+        holder.bind(new InetSocketAddress(InetAddress.getLoopbackAddress(), 0));
+    }
+
+    int port() {
+        return holder.getLocalPort();
+    }
+
+    Optional<FaultShim> shim() {
+        return shim;
+    }
+
+    /** Writes the file that the next start or SIGHUP reads. */
+    void configure(int discoveryPort, int maxAttempts, JsonObject known) throws IOException {
+        JsonObject file = Json.object()
+                .add("name", "gateway-" + number)
+                .add("listen", "127.0.0.1:" + port())
+                .add("discovery", "127.0.0.1:" + discoveryPort)
+                .add("limits", Json.object().add("sockets", DESCRIPTORS))
+                .add("known", known)
+                .add("settings", plan.settings(number, maxAttempts));
+        Path next = folder.resolve("gateway-" + number + ".next");
+        Files.writeString(next, file.toString());
+        Files.move(next, config(), java.nio.file.StandardCopyOption.ATOMIC_MOVE);
+    }
+
+    private Path config() {
+        return folder.resolve("gateway-" + number + ".json");
+    }
+
+    private Path log() {
+        return folder.resolve("gateway-" + number + ".log");
+    }
+
+    /** Starts the process and waits for its first answer to a PING. */
+    void start() throws IOException, InterruptedException {
+        ProcessBuilder builder = new ProcessBuilder(ProcessCommands.java("opalcove.Main", "serve"))
+                .redirectErrorStream(true)
+                .redirectOutput(ProcessBuilder.Redirect.appendTo(log().toFile()));
+        builder.environment().keySet().removeIf(key -> key.startsWith("GW_"));
+        builder.environment().put("GW_CONFIG", config().toString());
+        shim.ifPresent(each -> each.loadInto(builder, library.orElseThrow()));
+        double startedAt = clock.now();
+        killed = false;
+        Process started = builder.start();
+        process = started;
+        started.onExit().thenRun(() -> exited(started));
+        while (!answersPing()) {
+            if (!started.isAlive()) {
+                return;
+            }
+            if (clock.now() - startedAt > PATIENCE_MS) {
+                broken(SoakRule.READY, "not ready after " + PATIENCE_MS + " ms");
+                return;
+            }
+            Thread.sleep(PING_EVERY_MS);
+        }
+        double readyMs = clock.now() - startedAt;
+        if (readyMs > READY_MS) {
+            broken(SoakRule.READY, "ready after " + Math.round(readyMs) + " ms");
+        }
+    }
+
+    private boolean answersPing() {
+        try (Socket socket = new Socket(InetAddress.getLoopbackAddress(), port())) {
+            socket.setSoTimeout(1000);
+            socket.getOutputStream().write(RespCommands.command("PING").getBytes(StandardCharsets.US_ASCII));
+            byte[] answer = socket.getInputStream().readNBytes(7);
+            return new String(answer, StandardCharsets.US_ASCII).equals("+PONG\r\n");
+        } catch (IOException notYet) {
+            return false;
+        }
+    }
+
+    private void exited(Process ended) {
+        if (ended != ending) {
+            broken(SoakRule.NO_CRASH, "ended by itself with " + ended.exitValue() + "\n" + tail());
+        }
+    }
+
+    private void broken(SoakRule rule, String what) {
+        violations.add(new SoakViolation(rule, number, clock.now(), what));
+    }
+
+    @Override
+    public boolean killed() {
+        return killed;
+    }
+
+    void signal(String name) {
+        Process now = process;
+        if (now != null) {
+            ProcessCommands.signal(now, name);
+        }
+    }
+
+    void kill() throws InterruptedException {
+        killed = true;
+        ending = process;
+        process.destroyForcibly();
+        process.waitFor();
+    }
+
+    /** Ends the process by SIGTERM, and kills it where it lasts longer than the platform lets it. */
+    void end() throws InterruptedException {
+        Process now = process;
+        ending = now;
+        double toldAt = clock.now();
+        ProcessCommands.signal(now, "TERM");
+        if (now.waitFor(KILL_AFTER_MS, TimeUnit.MILLISECONDS)) {
+            // Before its start hook is set SIGTERM ends the JVM by itself, which is as good.
+            if (now.exitValue() != 0 && now.exitValue() != 143) {
+                broken(SoakRule.ENDS_WELL, "ended with " + now.exitValue() + " after SIGTERM\n" + tail());
+            }
+        } else {
+            killed = true;
+            now.destroyForcibly();
+            now.waitFor();
+            broken(
+                    SoakRule.ENDS_WELL,
+                    String.format("had to be killed %.0f ms after SIGTERM%n%s", clock.now() - toldAt, tail()));
+        }
+    }
+
+    /** Looks at what the process holds. */
+    void sample() {
+        Process now = process;
+        if (now == null || !now.isAlive()) {
+            return;
+        }
+        String[] open = new File("/proc/" + now.pid() + "/fd").list();
+        if (open != null && open.length > DESCRIPTORS) {
+            broken(SoakRule.DESCRIPTORS, open.length + " descriptors of " + DESCRIPTORS);
+        }
+    }
+
+    /** Judges what the process has logged: errors, exceptions, and violations that it counted itself. */
+    void judgeLog() throws IOException {
+        for (String line : Files.readAllLines(log(), StandardCharsets.ISO_8859_1)) {
+            Matcher rule = COUNTED_VIOLATION.matcher(line);
+            Matcher slip = COUNTED_SLIP.matcher(line);
+            if (rule.find()) {
+                broken(SoakRule.OWN_CHECKS, "counts " + rule.group());
+            } else if (slip.find()) {
+                broken(SoakRule.OWN_CHECKS, "counts " + slip.group());
+            } else if (line.contains(" ERROR ") || line.contains("LEAK")) {
+                broken(SoakRule.OWN_CHECKS, "logs " + line);
+            }
+        }
+    }
+
+    private String tail() {
+        try {
+            List<String> lines = new ArrayList<>(Files.readAllLines(log(), StandardCharsets.ISO_8859_1));
+            return String.join("\n", lines.subList(Math.max(0, lines.size() - 8), lines.size()));
+        } catch (IOException e) {
+            return e.getMessage();
+        }
+    }
+
+    void close() throws IOException {
+        killed = true;
+        Process now = process;
+        ending = now;
+        if (now != null) {
+            now.destroyForcibly();
+            now.onExit().join();
+        }
+        holder.close();
+    }
+}
--- /dev/null
+++ b/laboratory/src/main/java/opalcove/laboratory/soak/Oracle.java
@@ -0,0 +1,367 @@
+package opalcove.laboratory.soak;
+
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Locale;
+import java.util.Map;
+import opalcove.laboratory.soak.History.Attempt;
+import opalcove.laboratory.soak.History.Change;
+import opalcove.laboratory.soak.History.End;
+import opalcove.laboratory.soak.History.Request;
+import opalcove.laboratory.soak.History.Stall;
+
+/** Judges the rules by a history, and by nothing that a gateway says of itself. */
+final class Oracle {
+    /** How much longer every time limit is on sockets, ms. */
+    private static final double SOCKET_SLACK_MS = 50;
+    /** What the recording itself may be late by when its thread is not held up, ms. */
+    private static final double RECORDING_MS = 15;
+
+    private static final double LOST_AFTER_MS = 500;
+    private static final double LEFT_SLACK_MS = 100;
+    private static final double DEADLINE_SLACK_MS = 150;
+    private static final double STALL_MS = 3000;
+    /** A request that was written so long before its connection was closed has been read, ms. */
+    private static final double CROSSING_MS = 50;
+    /** Two ends that were recorded so close to each other may have come in the other order, ms. */
+    private static final double ORDER_MS = 10;
+
+    private static final double TOLD_PART = 2.0 / 3;
+
+    private final SoakPlan plan;
+    private final History history;
+    private final List<SoakBackendPlace> places;
+    private final double capacityPerS;
+    private final double endAt;
+    private final List<SoakViolation> violations = new ArrayList<>();
+
+    Oracle(SoakPlan plan, History history, List<SoakBackendPlace> places, double capacityPerS, double endAt) {
+        this.plan = plan;
+        this.history = history;
+        this.places = places;
+        this.capacityPerS = capacityPerS;
+        this.endAt = endAt;
+    }
+
+    /** The rules that were broken, in the order of time. */
+    List<SoakViolation> judge() {
+        for (Request request : history.requests.values()) {
+            judgeEnd(request);
+            judgeAttempts(request);
+        }
+        judgeDrains();
+        judgeSlowStarts();
+        judgeCeilings();
+        history.stalls.forEach(this::judgeStall);
+        violations.addAll(history.processViolations);
+        violations.sort(Comparator.comparingDouble(SoakViolation::atMs));
+        return violations;
+    }
+
+    private void broken(SoakRule rule, int gateway, double at, String form, Object... values) {
+        violations.add(new SoakViolation(rule, gateway, at, String.format(Locale.ROOT, form, values)));
+    }
+
+    private double tolerance(double at) {
+        return RECORDING_MS + history.lagAround(at);
+    }
+
+    private void judgeEnd(Request request) {
+        if (request.sentAt < 0 || request.end == End.LEFT || request.end == End.KILLED) {
+            return;
+        }
+        double dueAt = Math.max(request.sentAt + request.waitMs, request.turnAt) + LOST_AFTER_MS;
+        if (request.end == null) {
+            if (endAt > dueAt + tolerance(endAt)) {
+                broken(SoakRule.ANSWERED, request.gateway, dueAt, "%s never had an answer", describe(request));
+            }
+            return;
+        }
+        if (request.end == End.CLOSED) {
+            double before = request.endAt - request.sentAt;
+            if (before > CROSSING_MS + tolerance(request.endAt) || !request.attempts.isEmpty()) {
+                broken(
+                        SoakRule.NOT_CLOSED_UNANSWERED,
+                        request.gateway,
+                        request.endAt,
+                        "%s closed %.0f ms after it was written, %d attempts",
+                        describe(request),
+                        before,
+                        request.attempts.size());
+            }
+            return;
+        }
+        if (request.endAt > dueAt + tolerance(request.endAt)) {
+            broken(
+                    SoakRule.ANSWERED,
+                    request.gateway,
+                    request.endAt,
+                    "%s answered %.0f ms after its time",
+                    describe(request),
+                    request.endAt - dueAt + LOST_AFTER_MS);
+        }
+        if (request.end == End.SERVED && !request.answer.startsWith(request.id + " ")) {
+            broken(SoakRule.OWN_VALUE, request.gateway, request.endAt, "%s got %s", describe(request), request.answer);
+        }
+        if (request.end == End.REFUSED && !mayBeRefused(request)) {
+            broken(SoakRule.REFUSAL, request.gateway, request.endAt, "%s refused, and may have run", describe(request));
+        }
+    }
+
+    private boolean mayBeRefused(Request request) {
+        boolean ran = request.attempts.stream().anyMatch(attempt -> mayHaveRun(attempt, request.endAt));
+        boolean shared =
+                request.requestClass == SoakClass.ORDER && plan.setup().reach().equals("all");
+        return request.requestClass.safe() || shared || !ran;
+    }
+
+    /** A whole command that was not turned away by then may have run. */
+    private static boolean mayHaveRun(Attempt attempt, double by) {
+        return attempt.wholeAt >= 0
+                && attempt.wholeAt <= by
+                && !(attempt.turnedAway && attempt.overAt <= by + ORDER_MS);
+    }
+
+    private static String describe(Request request) {
+        return String.format(
+                Locale.ROOT,
+                "%s %s d=%d on connection %d, written at %.0f",
+                request.requestClass,
+                request.id,
+                request.waitMs,
+                request.connection,
+                request.sentAt);
+    }
+
+    private void judgeAttempts(Request request) {
+        List<Attempt> attempts = request.attempts;
+        long whole = attempts.stream().filter(attempt -> attempt.wholeAt >= 0).count();
+        // A reload may have allowed one more for a while: the larger of both numbers binds.
+        int most = plan.setup().maxAttempts() + 1;
+        if (whole > most) {
+            broken(SoakRule.ATTEMPTS, request.gateway, request.endAt, "%s had %d attempts", describe(request), whole);
+        }
+        for (int i = 0; i < attempts.size(); i++) {
+            Attempt attempt = attempts.get(i);
+            judgeTimes(request, attempt);
+            if (attempt.wholeAt >= 0) {
+                judgeRepeat(request, attempts.subList(0, i), attempt);
+            }
+        }
+    }
+
+    private void judgeTimes(Request request, Attempt attempt) {
+        double at = attempt.firstByteAt;
+        double slack = tolerance(at);
+        if (request.end == End.LEFT && at > request.endAt + LEFT_SLACK_MS + slack) {
+            broken(
+                    SoakRule.NOT_FOR_CLIENTS_THAT_LEFT,
+                    attempt.gateway,
+                    at,
+                    "%s sent to backend %d %.0f ms after its client left",
+                    describe(request),
+                    attempt.backend,
+                    at - request.endAt);
+        }
+        boolean answered = request.end == End.SERVED || request.end == End.REFUSED || request.end == End.FAILED;
+        if (answered && at > request.endAt + LEFT_SLACK_MS + slack) {
+            broken(
+                    SoakRule.NOT_AFTER_THE_ANSWER,
+                    attempt.gateway,
+                    at,
+                    "%s sent to backend %d %.0f ms after its answer",
+                    describe(request),
+                    attempt.backend,
+                    at - request.endAt);
+        }
+        if (request.sentAt >= 0 && attempt.wholeAt >= 0) {
+            double left = request.waitMs - (at - request.sentAt);
+            if (attempt.waitMs > Math.max(0, left) + DEADLINE_SLACK_MS + slack) {
+                broken(
+                        SoakRule.DEADLINE_PASSED_ON,
+                        attempt.gateway,
+                        at,
+                        "%s told backend %d d=%d with %.0f ms left",
+                        describe(request),
+                        attempt.backend,
+                        attempt.waitMs,
+                        left);
+            }
+        }
+    }
+
+    private void judgeRepeat(Request request, List<Attempt> before, Attempt attempt) {
+        double at = attempt.firstByteAt;
+        int out = 0;
+        for (Attempt earlier : before) {
+            if (earlier.wholeAt < 0) {
+                continue;
+            }
+            boolean isOut = earlier.overAt < 0 || earlier.overAt > at + ORDER_MS + history.lagAround(at);
+            out += isOut ? 1 : 0;
+            if (!mayHaveRun(earlier, at)) {
+                continue;
+            }
+            judgeRepeatOf(request, earlier, attempt);
+        }
+        int most = plan.setup().secondCopies() && request.requestClass != SoakClass.PAYMENT ? 1 : 0;
+        if (out > most) {
+            broken(
+                    SoakRule.SECOND_COPY,
+                    attempt.gateway,
+                    at,
+                    "%s sent to backend %d with %d attempts out",
+                    describe(request),
+                    attempt.backend,
+                    out);
+        }
+    }
+
+    private void judgeRepeatOf(Request request, Attempt earlier, Attempt attempt) {
+        double at = attempt.firstByteAt;
+        String objection = null;
+        if (request.requestClass == SoakClass.PAYMENT) {
+            objection = "unsafe";
+        } else if (request.requestClass == SoakClass.ORDER) {
+            double sinceMs = at - earlier.firstByteAt;
+            if (!plan.setup().sharesRepeats(places.get(earlier.backend), places.get(attempt.backend))) {
+                objection = "at a backend that does not know of it";
+            } else if (sinceMs > request.requestClass.windowMs + SOCKET_SLACK_MS + tolerance(at)) {
+                objection = String.format(Locale.ROOT, "%.0f ms after the first", sinceMs);
+            }
+        }
+        if (objection != null) {
+            broken(
+                    SoakRule.REPEAT,
+                    attempt.gateway,
+                    at,
+                    "%s repeated at backend %d, %s; the earlier one at backend %d at %.0f",
+                    describe(request),
+                    attempt.backend,
+                    objection,
+                    earlier.backend,
+                    earlier.firstByteAt);
+        }
+    }
+
+    private void judgeDrains() {
+        for (Attempt attempt : history.attempts) {
+            Change last = null;
+            for (Change change : history.changes) {
+                double toldAt = change.toldAt[attempt.gateway];
+                boolean known = change.backend == attempt.backend
+                        && (change.takesWork ? change.at : toldAt) >= 0
+                        && (change.takesWork ? change.at : toldAt) <= attempt.firstByteAt;
+                if (known && (last == null || change.at > last.at)) {
+                    last = change;
+                }
+            }
+            if (last == null || last.takesWork) {
+                continue;
+            }
+            double since = attempt.firstByteAt - last.toldAt[attempt.gateway];
+            if (since > plan.setup().graceMs() + SOCKET_SLACK_MS + tolerance(attempt.firstByteAt)) {
+                broken(
+                        SoakRule.DRAIN,
+                        attempt.gateway,
+                        attempt.firstByteAt,
+                        "%s sent to backend %d %.0f ms after its drain was told; changed at %.0f",
+                        describe(attempt.request),
+                        attempt.backend,
+                        since,
+                        last.at);
+            }
+        }
+    }
+
+    private void judgeSlowStarts() {
+        history.starts.forEach((backend, starts) -> starts.forEach(startedAt -> judgeSlowStart(backend, startedAt)));
+    }
+
+    private void judgeSlowStart(int backend, double startedAt) {
+        List<Attempt> since = history.attempts.stream()
+                .filter(attempt -> attempt.backend == backend
+                        && attempt.wholeAt >= startedAt
+                        && attempt.wholeAt < startedAt + SlowStart.WARM_AFTER_MS)
+                .sorted(Comparator.comparingDouble(attempt -> attempt.wholeAt))
+                .toList();
+        for (int first = 0, last = 0; last < since.size(); last++) {
+            while (since.get(last).wholeAt - since.get(first).wholeAt > SlowStart.FALL_MS) {
+                first++;
+            }
+            int count = last - first + 1;
+            double allowed = SlowStart.budget(capacityPerS, since.get(first).wholeAt - startedAt);
+            if (count > allowed && toldShare(since.subList(first, last + 1), backend, startedAt) > TOLD_PART) {
+                broken(
+                        SoakRule.SLOW_START,
+                        since.get(last).gateway,
+                        since.get(last).wholeAt,
+                        "backend %d, started at %.0f, got %d requests in 3 s, %.0f allowed",
+                        backend,
+                        startedAt,
+                        count,
+                        allowed);
+                return;
+            }
+        }
+    }
+
+    private double toldShare(List<Attempt> sent, int backend, double startedAt) {
+        long told = sent.stream()
+                .filter(attempt -> history.changes.stream()
+                        .anyMatch(change -> change.backend == backend
+                                && change.takesWork
+                                && Math.abs(change.at - startedAt) < 1
+                                && change.toldAt[attempt.gateway] >= 0
+                                && change.toldAt[attempt.gateway] <= attempt.firstByteAt))
+                .count();
+        return (double) told / sent.size();
+    }
+
+    private void judgeCeilings() {
+        Map<String, List<Double>> sent = new HashMap<>();
+        for (Request request : history.requests.values()) {
+            if (request.plan.equals(Traffic.CEILING_PLAN)) {
+                request.attempts.stream()
+                        .filter(attempt -> attempt.wholeAt >= 0)
+                        .mapToDouble(attempt -> attempt.wholeAt)
+                        .min()
+                        .ifPresent(at -> sent.computeIfAbsent(request.customer, none -> new ArrayList<>())
+                                .add(at));
+            }
+        }
+        sent.forEach(this::judgeCeiling);
+    }
+
+    private void judgeCeiling(String customer, List<Double> times) {
+        times.sort(Comparator.naturalOrder());
+        double store = Traffic.CEILING_BURST;
+        double last = 0;
+        for (double at : times) {
+            store = Math.min(Traffic.CEILING_BURST, store + (at - last) / 1000 * Traffic.CEILING_PER_S) - 1;
+            last = at;
+            if (store < -Traffic.CEILING_SLACK) {
+                broken(SoakRule.CEILING, -1, at, "customer %s is %.1f units below its ceiling's 0", customer, -store);
+                return;
+            }
+        }
+    }
+
+    private void judgeStall(Stall stall) {
+        if (stall.excused) {
+            return;
+        }
+        double until = stall.endedAt < 0 ? endAt : stall.endedAt;
+        if (until - stall.at > STALL_MS + SOCKET_SLACK_MS + tolerance(until)) {
+            broken(
+                    SoakRule.STALLED_CLIENT,
+                    stall.gateway,
+                    stall.at,
+                    "a client that stopped in the middle of a request was ended after %.0f ms%s",
+                    until - stall.at,
+                    stall.endedAt < 0 ? " at the least" : "");
+        }
+    }
+}
--- /dev/null
+++ b/laboratory/src/main/java/opalcove/laboratory/soak/ProcessCommands.java
@@ -0,0 +1,50 @@
+package opalcove.laboratory.soak;
+
+import java.io.IOException;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.TimeUnit;
+
+/** How the soak's processes are started and signalled. */
+final class ProcessCommands {
+    private static final int SIGNAL_S = 10;
+
+    private ProcessCommands() {}
+
+    /** Java with the class path of this process. */
+    static List<String> java(String mainClass, String... arguments) {
+        List<String> command = new ArrayList<>(List.of(
+                Path.of(System.getProperty("java.home"), "bin", "java").toString(),
+                "-XX:+UseSerialGC",
+                "-XX:TieredStopAtLevel=1",
+                "-Xshare:auto",
+                "-Xms24m",
+                "-Xmx48m",
+                "-Xss512k",
+                "-XX:MaxDirectMemorySize=24m",
+                "-XX:+ExitOnOutOfMemoryError",
+                "-Dvertx.disableDnsResolver=true",
+                "-cp",
+                System.getProperty("java.class.path"),
+                mainClass));
+        command.addAll(List.of(arguments));
+        return command;
+    }
+
+    /** Sends a signal to a process that this one has started. */
+    static void signal(Process process, String name) {
+        if (!process.isAlive()) {
+            return;
+        }
+        try {
+            new ProcessBuilder("kill", "-" + name, Long.toString(process.pid()))
+                    .start()
+                    .waitFor(SIGNAL_S, TimeUnit.SECONDS);
+        } catch (IOException e) {
+            throw new IllegalStateException(e);
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+        }
+    }
+}
--- /dev/null
+++ b/laboratory/src/main/java/opalcove/laboratory/soak/RespCommands.java
@@ -0,0 +1,66 @@
+package opalcove.laboratory.soak;
+
+import io.netty.buffer.ByteBuf;
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.List;
+
+/** Reads RESP2 arrays of bulk strings out of bytes that come in pieces, without the gateway's own reader. */
+final class RespCommands {
+    private static final int HEAD_LIMIT = 32;
+
+    private RespCommands() {}
+
+    /** The next whole command, which is taken out of the bytes; null where it has not come whole. */
+    static List<String> next(ByteBuf in) {
+        int start = in.readerIndex();
+        int words = number(in, '*');
+        List<String> command = new ArrayList<>(Math.max(0, words));
+        for (int i = 0; i < words; i++) {
+            int length = number(in, '$');
+            if (length < 0 || in.readableBytes() < length + 2) {
+                in.readerIndex(start);
+                return null;
+            }
+            command.add(in.toString(in.readerIndex(), length, StandardCharsets.ISO_8859_1));
+            in.skipBytes(length + 2);
+        }
+        if (words < 0) {
+            in.readerIndex(start);
+            return null;
+        }
+        return command;
+    }
+
+    private static int number(ByteBuf in, char mark) {
+        int end = in.indexOf(in.readerIndex(), Math.min(in.writerIndex(), in.readerIndex() + HEAD_LIMIT), (byte) '\n');
+        if (end < 0) {
+            return -1;
+        }
+        if (in.getByte(in.readerIndex()) != mark) {
+            throw new IllegalStateException("expected " + mark);
+        }
+        String digits = in.toString(in.readerIndex() + 1, end - in.readerIndex() - 2, StandardCharsets.US_ASCII);
+        in.readerIndex(end + 1);
+        return Integer.parseInt(digits);
+    }
+
+    /** The value of a mark such as {@code d=480} in a command's list of marks, or null. */
+    static String mark(String marks, String name) {
+        for (String each : marks.split(",")) {
+            if (each.startsWith(name + "=")) {
+                return each.substring(name.length() + 1);
+            }
+        }
+        return null;
+    }
+
+    /** A command of these words. */
+    static String command(String... words) {
+        StringBuilder text = new StringBuilder("*").append(words.length).append("\r\n");
+        for (String each : words) {
+            text.append('$').append(each.length()).append("\r\n").append(each).append("\r\n");
+        }
+        return text.toString();
+    }
+}
--- /dev/null
+++ b/laboratory/src/main/java/opalcove/laboratory/soak/SoakBackend.java
@@ -0,0 +1,216 @@
+package opalcove.laboratory.soak;
+
+import io.netty.bootstrap.ServerBootstrap;
+import io.netty.buffer.ByteBuf;
+import io.netty.buffer.Unpooled;
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelFuture;
+import io.netty.channel.ChannelFutureListener;
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.ChannelInboundHandlerAdapter;
+import io.netty.channel.ChannelInitializer;
+import io.netty.channel.ChannelOption;
+import io.netty.channel.EventLoopGroup;
+import io.netty.channel.MultiThreadIoEventLoopGroup;
+import io.netty.channel.nio.NioIoHandler;
+import io.netty.channel.socket.nio.NioServerSocketChannel;
+import java.io.BufferedReader;
+import java.io.IOException;
+import java.io.InputStreamReader;
+import java.net.InetSocketAddress;
+import java.nio.charset.StandardCharsets;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.ThreadLocalRandom;
+import java.util.concurrent.TimeUnit;
+
+/**
+ * A backend of the soak as a process of its own: {@code SoakBackend NAME PORT}, where port 0 is any. It prints the port that it
+ * listens on, reads behaviours from standard input, one {@code NAME VALUE} a line, and ends with that input.
+ */
+public final class SoakBackend {
+    /** What a line of standard input can set. */
+    enum Behaviour {
+        /** Mean time that a request takes, ms. */
+        WORK(15),
+        /** Share of requests that are turned away. */
+        BUSY(0),
+        /** Share that is answered with an error. */
+        ERROR(0),
+        /** Share that is never answered. */
+        HANG(0),
+        /** Share whose answer is spoilt. */
+        SPOILT(0),
+        /** Share of answers after which the connection is closed. */
+        CLOSES(0),
+        /** Share of answers that are long, some of which are cut. */
+        LONG(0);
+
+        final double first;
+
+        Behaviour(double first) {
+            this.first = first;
+        }
+    }
+
+    private static final int SHORT_VALUE = 24;
+    private static final int LONG_VALUE = 150_000;
+    private static final int LONG_STEP_MS = 40;
+    private static final double CUT_SHARE = 0.5;
+
+    private final String name;
+    private final Map<Behaviour, Double> behaviours = new ConcurrentHashMap<>();
+
+    private SoakBackend(String name) {
+        this.name = name;
+        for (Behaviour each : Behaviour.values()) {
+            behaviours.put(each, each.first);
+        }
+    }
+
+    /** Serves until standard input ends. */
+    public static void main(String[] args) throws Exception {
+        SoakBackend backend = new SoakBackend(args[0]);
+        EventLoopGroup loop = new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
+        Channel server = new ServerBootstrap()
+                .group(loop)
+                .channel(NioServerSocketChannel.class)
+                .option(ChannelOption.SO_BACKLOG, 1024)
+                .option(ChannelOption.SO_REUSEADDR, true)
+                .childOption(ChannelOption.TCP_NODELAY, true)
+                .childHandler(new ChannelInitializer<>() {
+                    @Override
+                    protected void initChannel(Channel channel) {
+                        channel.pipeline().addLast(backend.new Requests());
+                    }
+                })
+                .bind("127.0.0.1", Integer.parseInt(args[1]))
+                .sync()
+                .channel();
+        System.out.println(((InetSocketAddress) server.localAddress()).getPort());
+        backend.follow();
+        System.exit(0);
+    }
+
+    private void follow() throws IOException {
+        BufferedReader lines = new BufferedReader(new InputStreamReader(System.in, StandardCharsets.US_ASCII));
+        for (String line = lines.readLine(); line != null; line = lines.readLine()) {
+            String[] words = line.split(" ");
+            behaviours.put(Behaviour.valueOf(words[0]), Double.parseDouble(words[1]));
+        }
+    }
+
+    private boolean chance(Behaviour behaviour) {
+        return ThreadLocalRandom.current().nextDouble() < behaviours.get(behaviour);
+    }
+
+    /** Reads the commands of one connection and answers each after its time. */
+    private final class Requests extends ChannelInboundHandlerAdapter {
+        private ByteBuf pending;
+
+        @Override
+        public void handlerAdded(ChannelHandlerContext context) {
+            pending = context.alloc().buffer();
+        }
+
+        @Override
+        public void channelRead(ChannelHandlerContext context, Object message) {
+            ByteBuf bytes = (ByteBuf) message;
+            pending.writeBytes(bytes);
+            bytes.release();
+            for (List<String> command = RespCommands.next(pending);
+                    command != null;
+                    command = RespCommands.next(pending)) {
+                take(context, command);
+            }
+            pending.discardReadBytes();
+        }
+
+        @Override
+        public void channelInactive(ChannelHandlerContext context) {
+            pending.release();
+        }
+
+        @Override
+        public void exceptionCaught(ChannelHandlerContext context, Throwable cause) {
+            context.close();
+        }
+
+        private void take(ChannelHandlerContext context, List<String> command) {
+            if (chance(Behaviour.HANG)) {
+                return;
+            }
+            if (chance(Behaviour.BUSY)) {
+                write(context, "-BUSY\r\n");
+                return;
+            }
+            double mean = behaviours.get(Behaviour.WORK);
+            double workMs = -mean * Math.log(1 - ThreadLocalRandom.current().nextDouble());
+            context.executor()
+                    .schedule(() -> answer(context, command.get(2)), (long) (workMs * 1000), TimeUnit.MICROSECONDS);
+        }
+
+        private void answer(ChannelHandlerContext context, String id) {
+            if (chance(Behaviour.ERROR)) {
+                write(context, "-ERR failed\r\n");
+            } else if (chance(Behaviour.SPOILT)) {
+                spoilt(context, id);
+            } else if (chance(Behaviour.LONG)) {
+                beginLong(context, id);
+            } else {
+                ChannelFuture written = write(context, whole(id, SHORT_VALUE));
+                if (chance(Behaviour.CLOSES)) {
+                    written.addListener(ChannelFutureListener.CLOSE);
+                }
+            }
+        }
+
+        private String value(String id, int length) {
+            String head = id + " " + name + " ";
+            return head + "v".repeat(Math.max(0, length - head.length()));
+        }
+
+        private String whole(String id, int length) {
+            String value = value(id, length);
+            return "*3\r\n$" + value.length() + "\r\n" + value + "\r\n$-1\r\n$-1\r\n";
+        }
+
+        private void spoilt(ChannelHandlerContext context, String id) {
+            String whole = whole(id, SHORT_VALUE);
+            switch (ThreadLocalRandom.current().nextInt(5)) {
+                case 0 ->
+                    write(context, whole.substring(0, whole.length() / 2)).addListener(ChannelFutureListener.CLOSE);
+                case 1 -> write(context, whole.substring(0, whole.length() - 3));
+                case 2 -> write(context, "!what\r\n");
+                case 3 -> {
+                    write(context, whole);
+                    context.executor().schedule(() -> write(context, whole), 5, TimeUnit.MILLISECONDS);
+                }
+                default -> write(context, "*3\r\n$70000000\r\n");
+            }
+        }
+
+        private void beginLong(ChannelHandlerContext context, String id) {
+            String whole = whole(id, LONG_VALUE);
+            int middle = whole.length() / 2;
+            write(context, whole.substring(0, middle));
+            boolean cut = ThreadLocalRandom.current().nextDouble() < CUT_SHARE;
+            context.executor()
+                    .schedule(
+                            () -> {
+                                if (cut) {
+                                    context.close();
+                                } else {
+                                    write(context, whole.substring(middle));
+                                }
+                            },
+                            LONG_STEP_MS,
+                            TimeUnit.MILLISECONDS);
+        }
+
+        private ChannelFuture write(ChannelHandlerContext context, String text) {
+            return context.writeAndFlush(Unpooled.copiedBuffer(text, StandardCharsets.ISO_8859_1));
+        }
+    }
+}
--- /dev/null
+++ b/laboratory/src/main/java/opalcove/laboratory/soak/SoakPlan.java
@@ -0,0 +1,177 @@
+package opalcove.laboratory.soak;
+
+import com.eclipsesource.json.Json;
+import com.eclipsesource.json.JsonArray;
+import com.eclipsesource.json.JsonObject;
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.List;
+import java.util.Set;
+import java.util.SplittableRandom;
+
+/**
+ * All that a seed decides: the fleet, the settings and the schedule of troubles. Troubles come in groups of two or three that
+ * overlap in time by construction.
+ */
+public record SoakPlan(
+        long seed, int gateways, int backends, int lengthMs, double requestsPerS, Setup setup, List<Trouble> troubles) {
+    private static final int FIRST_MS = 500;
+    private static final int LEAST_LENGTH_MS = 400;
+    private static final int MORE_LENGTH_MS = 3200;
+    /** Gateways that are stopped, or whose file changes, at the same time are the same one in half of all groups. */
+    private static final double SAME_TARGET = 0.5;
+
+    /** The size of the fleet and the length of the traffic; what is 0 is drawn. */
+    public record Size(int gateways, int backends, int lengthMs) {}
+
+    /**
+     * The settings that are drawn.
+     *
+     * @param reach the backends that drop repeats of a keyed request: all, zone or cell
+     */
+    public record Setup(
+            boolean pushed,
+            int graceMs,
+            int maxAttempts,
+            boolean secondCopies,
+            boolean mayCancel,
+            String reach,
+            int idleMs) {
+        boolean sharesRepeats(SoakBackendPlace first, SoakBackendPlace second) {
+            return switch (reach) {
+                case "all" -> true;
+                case "zone" -> first.zone().equals(second.zone());
+                default -> first.cell() == second.cell();
+            };
+        }
+    }
+
+    /** Draws a plan. */
+    public static SoakPlan of(long seed, Size size) {
+        SplittableRandom random = new SplittableRandom(seed);
+        int gateways = size.gateways() > 0 ? size.gateways() : random.nextInt(3, 6);
+        int backends = size.backends() > 0 ? size.backends() : random.nextInt(7, 11);
+        int lengthMs = size.lengthMs() > 0 ? size.lengthMs() : 12_000;
+        Setup setup = new Setup(
+                random.nextDouble() < 0.7,
+                random.nextBoolean() ? 1000 : 500,
+                random.nextInt(2, 7),
+                random.nextDouble() < 0.3,
+                random.nextDouble() < 0.8,
+                List.of("all", "zone", "cell").get(random.nextInt(3)),
+                random.nextBoolean() ? 30_000 : 3000);
+        double requestsPerS = random.nextDouble(15, 45);
+        List<Trouble> troubles = troubles(random, gateways, backends, lengthMs);
+        return new SoakPlan(seed, gateways, backends, lengthMs, requestsPerS, setup, troubles);
+    }
+
+    private static List<Trouble> troubles(SplittableRandom random, int gateways, int backends, int lengthMs) {
+        List<Trouble> troubles = new ArrayList<>();
+        TroubleKind[] kinds = TroubleKind.values();
+        int groups = Math.max(2, lengthMs / 3000);
+        for (int group = 0; group < groups; group++) {
+            int size = random.nextInt(2, 4);
+            int middleMs = FIRST_MS + LEAST_LENGTH_MS + random.nextInt(Math.max(1, lengthMs - 2 * MORE_LENGTH_MS));
+            int gateway = random.nextInt(gateways);
+            int backend = random.nextInt(backends);
+            for (int i = 0; i < size; i++) {
+                TroubleKind kind = kinds[random.nextInt(kinds.length)];
+                int startMs = middleMs - random.nextInt(LEAST_LENGTH_MS);
+                int lengthOfIt = middleMs - startMs + LEAST_LENGTH_MS + random.nextInt(MORE_LENGTH_MS);
+                boolean same = random.nextDouble() < SAME_TARGET;
+                int target = kind.place == TroubleKind.Place.BACKEND
+                        ? same ? backend : random.nextInt(backends)
+                        : same ? gateway : random.nextInt(gateways);
+                troubles.add(new Trouble(troubles.size(), kind, target, startMs, lengthOfIt, random.nextDouble()));
+            }
+        }
+        troubles.sort(Comparator.comparingInt(Trouble::startMs));
+        return List.copyOf(troubles);
+    }
+
+    /** The same plan without the troubles of these numbers. */
+    public SoakPlan without(Set<Integer> numbers) {
+        List<Trouble> left = troubles.stream()
+                .filter(trouble -> !numbers.contains(trouble.number()))
+                .toList();
+        return new SoakPlan(seed, gateways, backends, lengthMs, requestsPerS, setup, left);
+    }
+
+    /** The same fleet and settings with these troubles. */
+    public SoakPlan with(List<Trouble> chosen) {
+        return new SoakPlan(seed, gateways, backends, lengthMs, requestsPerS, setup, List.copyOf(chosen));
+    }
+
+    /** The settings of a gateway in the form of its file; attempts allowed differ after a reload. */
+    JsonObject settings(int gateway, int maxAttempts) {
+        JsonObject limits = Json.object()
+                .add("max_attempts", maxAttempts)
+                .add("second_copies", setup.secondCopies())
+                .add("may_cancel", setup.mayCancel())
+                .add("may_probe", false)
+                .add("retry_after", true)
+                .add("max_retry_after_ms", 2000.0)
+                .add("idle_close_ms", (double) setup.idleMs())
+                .add("dial_timeout_ms", 250.0)
+                .add("max_open", 20_000);
+        JsonObject duties = Json.object()
+                .add("answer_slack_ms", 8.0)
+                .add("cold_from", SlowStart.COLD_FROM)
+                .add("warm_after_ms", (double) SlowStart.WARM_AFTER_MS)
+                .add("overload_factor", SlowStart.OVERLOAD_FACTOR)
+                .add("fall_ms", (double) SlowStart.FALL_MS)
+                .add("stop_sending_within_ms", (double) setup.graceMs())
+                .add("ask_within_ms", 10_000.0);
+        JsonArray classes = new JsonArray();
+        for (SoakClass each : SoakClass.values()) {
+            classes.add(each.json(setup.reach()));
+        }
+        JsonArray plans = new JsonArray()
+                .add(Json.object()
+                        .add("name", Traffic.WIDE_PLAN)
+                        .add("quota_rate", 2000.0)
+                        .add("peak_units", 2000.0)
+                        .add("value_factor", 1.0))
+                .add(Json.object()
+                        .add("name", Traffic.CEILING_PLAN)
+                        .add("quota_rate", 2000.0)
+                        .add("peak_units", 2000.0)
+                        .add("value_factor", 1.0)
+                        .add("cap_rate", Traffic.CEILING_PER_S)
+                        .add("hard_burst", Traffic.CEILING_BURST)
+                        .add("tolerance", Traffic.CEILING_SLACK));
+        return Json.object()
+                .add("me", gateway)
+                .add("balancers", gateways)
+                .add("locality", "room-" + (char) ('a' + gateway % 2))
+                .add("tick_ms", 2.0)
+                .add("discovery", setup.pushed() ? "pushed" : "on_request")
+                .add("specifics", Json.object().add("cost_after", false).add("largest", 8))
+                .add("ceilings", limits)
+                .add(
+                        "costs",
+                        Json.object()
+                                .add("cross_zone", 0.01)
+                                .add("late_fail", 0.08)
+                                .add("waste", 0.03))
+                .add("feedback", Json.object().add("how", "off").add("columns", new JsonArray()))
+                .add("obligations", duties)
+                .add("profiles", classes)
+                .add("tiers_of_service", plans);
+    }
+
+    /** The plan as text: the fleet, the settings, and a line a trouble. */
+    public String text() {
+        StringBuilder text = new StringBuilder();
+        text.append("seed ")
+                .append(seed)
+                .append(": ")
+                .append(gateways)
+                .append(" gateways, ")
+                .append(backends);
+        text.append(" backends, ").append(lengthMs).append(" ms, ").append(Math.round(requestsPerS));
+        text.append(" requests/s a gateway, ").append(setup).append('\n');
+        troubles.forEach(trouble -> text.append("  ").append(trouble).append('\n'));
+        return text.toString();
+    }
+}
--- /dev/null
+++ b/laboratory/src/main/java/opalcove/laboratory/soak/SoakRig.java
@@ -0,0 +1,233 @@
+package opalcove.laboratory.soak;
+
+import com.eclipsesource.json.JsonObject;
+import io.netty.channel.EventLoopGroup;
+import io.netty.channel.MultiThreadIoEventLoopGroup;
+import io.netty.channel.nio.NioIoHandler;
+import java.io.IOException;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.Collections;
+import java.util.List;
+import java.util.Optional;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.TimeUnit;
+
+/** The processes of one run, the connections between them and what stands in for discovery. */
+final class SoakRig implements AutoCloseable {
+    private static final int LAG_LOOK_MS = 5;
+    private static final int SAMPLE_MS = 100;
+    /** Held up for less than this the recording counts as on time, ms. */
+    private static final double LEAST_LAG_MS = 3;
+
+    final SoakClock clock = new SoakClock();
+    final History history = new History();
+    final List<SoakBackendPlace> places = new ArrayList<>();
+    private final List<SoakViolation> processViolations = Collections.synchronizedList(new ArrayList<>());
+    private final SoakPlan plan;
+    private final EventLoopGroup loop = new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
+    private final Fleet fleet;
+    private final List<BackendProcess> backends = new ArrayList<>();
+    private final List<GatewayProcess> gateways = new ArrayList<>();
+    private final List<List<BackendLink>> links = new ArrayList<>();
+    private final List<List<DiscoveryAgent>> agents = new ArrayList<>();
+    private final List<Traffic> traffics = new ArrayList<>();
+    private final int[] followed;
+
+    SoakRig(SoakPlan plan, Path folder, Optional<Path> shimLibrary) throws Exception {
+        this.plan = plan;
+        followed = new int[plan.gateways()];
+        for (int i = 0; i < plan.backends(); i++) {
+            places.add(new SoakBackendPlace("room-" + (char) ('a' + i % 2), i / 3));
+        }
+        fleet = new Fleet(places);
+        startBackends(folder);
+        for (int i = 0; i < plan.gateways(); i++) {
+            connect(i, folder, shimLibrary);
+        }
+        startGateways();
+        loop.scheduleAtFixedRate(new LagWatch(), LAG_LOOK_MS, LAG_LOOK_MS, TimeUnit.MILLISECONDS);
+        Thread sampling = new Thread(this::sample, "descriptors");
+        sampling.setDaemon(true);
+        sampling.start();
+    }
+
+    private void startBackends(Path folder) throws Exception {
+        for (int i = 0; i < plan.backends(); i++) {
+            backends.add(new BackendProcess("backend-" + i, folder.resolve("backend-" + i + ".log")));
+        }
+        forAll(backends, BackendProcess::start);
+    }
+
+    private void connect(int gateway, Path folder, Optional<Path> shimLibrary) throws IOException {
+        List<BackendLink> own = new ArrayList<>();
+        List<String> addresses = new ArrayList<>();
+        for (int i = 0; i < backends.size(); i++) {
+            BackendLink link = new BackendLink(gateway, i, loop, clock, history, plan.seed() * 1000 + gateway * 50 + i);
+            link.open(backends.get(i).port());
+            own.add(link);
+            addresses.add(link.address());
+        }
+        links.add(own);
+        List<DiscoveryAgent> two = new ArrayList<>();
+        for (int i = 0; i < 2; i++) {
+            DiscoveryAgent agent =
+                    new DiscoveryAgent(gateway, fleet, addresses, plan.setup().pushed(), loop, clock, history);
+            agent.open();
+            two.add(agent);
+        }
+        agents.add(two);
+        GatewayProcess process = new GatewayProcess(gateway, plan, folder, clock, shimLibrary, processViolations);
+        process.shim()
+                .ifPresent(shim ->
+                        shim.discoveryPorts(two.get(0).port(), two.get(1).port()));
+        gateways.add(process);
+        traffics.add(new Traffic(gateway, process.port(), plan, process, loop, clock, history));
+    }
+
+    private void startGateways() throws Exception {
+        for (int i = 0; i < gateways.size(); i++) {
+            configure(i, false, 0);
+        }
+        forAll(gateways, GatewayProcess::start);
+    }
+
+    /** What is done to each of several processes at once. */
+    private interface Deed<T> {
+        void to(T process) throws Exception;
+    }
+
+    private static <T> void forAll(List<T> all, Deed<T> deed) {
+        List<CompletableFuture<Void>> running = new ArrayList<>();
+        for (T each : all) {
+            running.add(CompletableFuture.runAsync(() -> {
+                try {
+                    deed.to(each);
+                } catch (Exception e) {
+                    throw new IllegalStateException(e);
+                }
+            }));
+        }
+        running.forEach(CompletableFuture::join);
+    }
+
+    /** Writes a gateway's file; a move names the other of its two agents, and may allow more attempts. */
+    void configure(int gateway, boolean move, int moreAttempts) throws IOException {
+        if (move) {
+            followed[gateway] = 1 - followed[gateway];
+        }
+        List<DiscoveryAgent> two = agents.get(gateway);
+        int now = followed[gateway];
+        onLoop(() -> {
+            two.get(1 - now).followed(false, false);
+            two.get(now).followed(true, move);
+        });
+        List<String> addresses =
+                links.get(gateway).stream().map(BackendLink::address).toList();
+        CompletableFuture<JsonObject> known = new CompletableFuture<>();
+        loop.execute(() -> known.complete(fleet.whole(addresses, true)));
+        gateways.get(gateway).configure(two.get(now).port(), plan.setup().maxAttempts() + moreAttempts, known.join());
+    }
+
+    GatewayProcess gateway(int number) {
+        return gateways.get(number);
+    }
+
+    BackendProcess backend(int number) {
+        return backends.get(number);
+    }
+
+    List<BackendLink> links(int gateway) {
+        return links.get(gateway);
+    }
+
+    List<DiscoveryAgent> agents(int gateway) {
+        return agents.get(gateway);
+    }
+
+    Traffic traffic(int gateway) {
+        return traffics.get(gateway);
+    }
+
+    /** Does it on the loop, to its end. */
+    void onLoop(Runnable work) {
+        loop.submit(work).syncUninterruptibly();
+    }
+
+    /** Changes a backend's status in discovery's list; as newly started where it is. */
+    void change(int backend, String status, boolean started) {
+        onLoop(() -> {
+            double now = clock.now();
+            long sinceMs = started ? System.currentTimeMillis() : fleet.entry(backend).sinceMs;
+            history.changes.add(new History.Change(backend, status.equals("up"), now, plan.gateways()));
+            if (started) {
+                history.starts
+                        .computeIfAbsent(backend, none -> new ArrayList<>())
+                        .add(now);
+            }
+            fleet.change(backend, status, sinceMs);
+        });
+    }
+
+    /** Kills a backend and starts it again after that time: it stays in the list, and the list tells its start. */
+    void restartBackend(int backend, int awayMs) throws IOException, InterruptedException {
+        backends.get(backend).kill();
+        onLoop(() -> links.forEach(own -> own.get(backend).close()));
+        TimeUnit.MILLISECONDS.sleep(awayMs);
+        int port = backends.get(backend).start();
+        onLoop(() -> links.forEach(own -> own.get(backend).open(port)));
+        change(backend, fleet.entry(backend).status, true);
+    }
+
+    void startTraffic() {
+        onLoop(() -> traffics.forEach(Traffic::start));
+    }
+
+    void stopTraffic() {
+        onLoop(() -> traffics.forEach(Traffic::stop));
+    }
+
+    /** Ends all gateways by SIGTERM, and judges what they have logged. */
+    void end() throws Exception {
+        forAll(gateways, GatewayProcess::end);
+        for (GatewayProcess each : gateways) {
+            each.judgeLog();
+        }
+        onLoop(() -> history.processViolations.addAll(processViolations));
+    }
+
+    private void sample() {
+        try {
+            while (true) {
+                gateways.forEach(GatewayProcess::sample);
+                TimeUnit.MILLISECONDS.sleep(SAMPLE_MS);
+            }
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+        }
+    }
+
+    /** Notes when the loop, which records all times, was held up. */
+    private final class LagWatch implements Runnable {
+        private double lastAt = clock.now();
+
+        @Override
+        public void run() {
+            double now = clock.now();
+            double lag = now - lastAt - LAG_LOOK_MS;
+            if (lag > LEAST_LAG_MS) {
+                history.lag(now, lag);
+            }
+            lastAt = now;
+        }
+    }
+
+    @Override
+    public void close() throws IOException {
+        for (GatewayProcess each : gateways) {
+            each.close();
+        }
+        backends.forEach(BackendProcess::kill);
+        loop.shutdownGracefully(0, 1, TimeUnit.SECONDS).syncUninterruptibly();
+    }
+}
--- /dev/null
+++ b/laboratory/src/main/java/opalcove/laboratory/soak/Trouble.java
@@ -0,0 +1,28 @@
+package opalcove.laboratory.soak;
+
+import java.util.Locale;
+
+/**
+ * One trouble of a plan.
+ *
+ * @param number its place in the plan, by which it can be left out
+ * @param target the number of the gateway or backend that it befalls
+ * @param startMs when it begins, from the start of the traffic
+ * @param lengthMs how long it lasts
+ * @param draw from 0 to 1, by which the trouble picks its size or variant
+ */
+public record Trouble(int number, TroubleKind kind, int target, int startMs, int lengthMs, double draw) {
+    int endMs() {
+        return startMs + lengthMs;
+    }
+
+    boolean overlaps(Trouble other) {
+        return startMs < other.endMs() && other.startMs < endMs();
+    }
+
+    @Override
+    public String toString() {
+        return String.format(
+                Locale.ROOT, "#%d %s on %d from %d to %d ms, draw %.3f", number, kind, target, startMs, endMs(), draw);
+    }
+}
