--- a/cli/src/main/java/opalcove/cli/SoakCommand.java
+++ b/cli/src/main/java/opalcove/cli/SoakCommand.java
@@ -63,6 +63,13 @@
     @Option(names = "--without", paramLabel = "N", split = ",", description = "numbers of troubles that are left out")
     private Set<Integer> without = Set.of();
 
+    @Option(
+            names = "--kinds",
+            paramLabel = "KIND",
+            split = ",",
+            description = "the kinds that troubles are drawn of (default: all)")
+    private List<TroubleKind> kinds = List.of(TroubleKind.values());
+
     @Option(names = "--except", paramLabel = "KIND", split = ",", description = "kinds of troubles that are left out")
     private Set<TroubleKind> except = Set.of();
 
@@ -92,7 +99,7 @@
     }
 
     private SoakPlan plan(long planned) {
-        SoakPlan whole = SoakPlan.of(planned, new SoakPlan.Size(gateways, backends, seconds * 1000));
+        SoakPlan whole = SoakPlan.of(planned, new SoakPlan.Size(gateways, backends, seconds * 1000), kinds);
         return whole.with(whole.troubles().stream()
                 .filter(trouble -> !except.contains(trouble.kind()) && !without.contains(trouble.number()))
                 .toList());
--- a/gateway/src/test/java/opalcove/platform/LongValueTest.java
+++ b/gateway/src/test/java/opalcove/platform/LongValueTest.java
@@ -132,6 +132,26 @@
         held.givenUp.get(10, TimeUnit.SECONDS);
     }
 
+    @Test
+    public void aValueThatIsCutLosesNoRequestThatCameBehindIt() throws Exception {
+        try (Stage stage = new Stage()) {
+            Stage.Node node = stage.node("n1");
+            stage.told(node.is(Admission.State.UP));
+            Socket terminal = stage.terminal();
+            Stage.say(terminal, Stage.query(1, 4000) + Stage.query(2, 4000));
+            Stage.Line first = node.withCommand();
+            Stage.Line second = node.withCommand();
+            assertTrue(first.command().contains(Stage.id(1)));
+            assertTrue(second.command().contains(Stage.id(2)));
+            first.say("*3\r\n" + HEAD + "v".repeat(100_000));
+            second.serve("second");
+            stage.until("attempts_served", 1);
+            first.reset();
+            assertTrue(Stage.answer(terminal).startsWith("-ERR"), "the value that was cut has failed");
+            assertEquals(Stage.answer(terminal), "second");
+        }
+    }
+
     private Gateway gateway;
 
     /** A front whose only app node is at the address; gives the front's port. */
--- /dev/null
+++ b/gateway/src/test/java/opalcove/platform/UnreadTimeTest.java
@@ -0,0 +1,71 @@
+package opalcove.platform;
+
+import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertTrue;
+
+import java.net.Socket;
+import java.util.concurrent.TimeUnit;
+import opalcove.decision.Admission;
+import org.testng.annotations.AfterMethod;
+import org.testng.annotations.BeforeMethod;
+import org.testng.annotations.Test;
+
+/**
+ * The deadline that a backend is told is at most what the client has left, with 0.15 s of slack, however long the request lay
+ * unread: each test has a request wait for at least so long, and looks at what its backend is told.
+ */
+public class UnreadTimeTest {
+    private static final int WAIT_MS = 4000;
+    private static final int UNREAD_MS = 700;
+    private static final int SLACK_MS = 150;
+    /** Errors after which the reads of a connection were paused for a second by the next. */
+    private static final int ERRORS = 20;
+
+    private static final String UNKNOWN_CLASS = Stage.words(
+            "SVC.QUERY", "00000000000000b2", "00000000000000ff", "c=none,t=start,d=100,units=1,spread=1,first=0");
+
+    private Stage stage;
+    private Stage.Node node;
+
+    @BeforeMethod
+    public void open() throws Exception {
+        stage = new Stage();
+        node = stage.node("n1");
+        stage.told(node.is(Admission.State.UP));
+    }
+
+    @AfterMethod
+    public void close() throws Exception {
+        stage.close();
+    }
+
+    /** Has the time pass with the event loop held up: nothing is read meanwhile. */
+    private void pass(Stage.Deed first) throws Exception {
+        stage.unread(
+                () -> {
+                    first.run();
+                    TimeUnit.MILLISECONDS.sleep(UNREAD_MS);
+                },
+                () -> {});
+    }
+
+    private void assertToldNoMoreThanIsLeft() throws Exception {
+        String command = node.withCommand().command();
+        int told = Integer.parseInt(command.replaceAll(".*,d=(\\d+).*", "$1"));
+        assertTrue(told <= WAIT_MS - UNREAD_MS + SLACK_MS, command);
+    }
+
+    @Test
+    public void whileTheReadsOfItsConnectionArePausedAfterErrors() throws Exception {
+        Socket terminal = stage.terminal();
+        Stage.say(terminal, UNKNOWN_CLASS.repeat(ERRORS));
+        for (int i = 0; i < ERRORS; i++) {
+            assertEquals(Stage.answer(terminal), "-ERR unknown class");
+        }
+        // One more, after the pause for those, and the request right behind its answer.
+        Stage.say(terminal, UNKNOWN_CLASS);
+        assertEquals(Stage.answer(terminal), "-ERR unknown class");
+        pass(() -> Stage.say(terminal, Stage.query(1, WAIT_MS)));
+        assertToldNoMoreThanIsLeft();
+    }
+}
--- a/laboratory/src/main/java/opalcove/laboratory/soak/SoakPlan.java
+++ b/laboratory/src/main/java/opalcove/laboratory/soak/SoakPlan.java
@@ -46,8 +46,13 @@
         }
     }
 
-    /** Draws a plan. */
+    /** Draws a plan whose troubles are of any kind. */
     public static SoakPlan of(long seed, Size size) {
+        return of(seed, size, List.of(TroubleKind.values()));
+    }
+
+    /** Draws a plan whose troubles are of these kinds. */
+    public static SoakPlan of(long seed, Size size, List<TroubleKind> kinds) {
         SplittableRandom random = new SplittableRandom(seed);
         int gateways = size.gateways() > 0 ? size.gateways() : random.nextInt(3, 6);
         int backends = size.backends() > 0 ? size.backends() : random.nextInt(7, 11);
@@ -61,13 +66,13 @@
                 List.of("all", "zone", "cell").get(random.nextInt(3)),
                 random.nextBoolean() ? 30_000 : 3000);
         double requestsPerS = random.nextDouble(15, 45);
-        List<Trouble> troubles = troubles(random, gateways, backends, lengthMs);
+        List<Trouble> troubles = troubles(random, gateways, backends, lengthMs, kinds);
         return new SoakPlan(seed, gateways, backends, lengthMs, requestsPerS, setup, troubles);
     }
 
-    private static List<Trouble> troubles(SplittableRandom random, int gateways, int backends, int lengthMs) {
+    private static List<Trouble> troubles(
+            SplittableRandom random, int gateways, int backends, int lengthMs, List<TroubleKind> kinds) {
         List<Trouble> troubles = new ArrayList<>();
-        TroubleKind[] kinds = TroubleKind.values();
         int groups = Math.max(2, lengthMs / 3000);
         for (int group = 0; group < groups; group++) {
             int size = random.nextInt(2, 4);
@@ -75,7 +80,7 @@
             int gateway = random.nextInt(gateways);
             int backend = random.nextInt(backends);
             for (int i = 0; i < size; i++) {
-                TroubleKind kind = kinds[random.nextInt(kinds.length)];
+                TroubleKind kind = kinds.get(random.nextInt(kinds.size()));
                 int startMs = middleMs - random.nextInt(LEAST_LENGTH_MS);
                 int lengthOfIt = middleMs - startMs + LEAST_LENGTH_MS + random.nextInt(MORE_LENGTH_MS);
                 boolean same = random.nextDouble() < SAME_TARGET;
