Bound the wait for a gathered value; close half a command behind nothing as recorded

Cause: a value that is gathered, or has begun and not been written, had no deadline: valueBegan cancels its request's, for what is written cannot be taken back.

Change: Passage waits for its own time and 0.2 s at the most once it is its turn, then fails alone; half a command behind no open request closes its connection without a word, as before. The oracle's lines tell a request's attempts and turn.

--- a/gateway/src/main/java/opalcove/gateway/Gateway.java
+++ b/gateway/src/main/java/opalcove/gateway/Gateway.java
@@ -175,6 +175,11 @@
         /** The long value that answers it cannot be passed on after all, and the front has answered otherwise. */
         default void giveUpValue() {}
 
+        /** How much of its time is left, ms; below 0 once it is over. */
+        default double leftMs() {
+            return 0;
+        }
+
         /** Another ask's answer waits for its own: it, too, ends before the process is ended. */
         void hurry();
     }
@@ -519,6 +524,10 @@
         end(life, () -> follow(life, new Life.Step.Final(new Answer.Failed("deadline"))));
     }
 
+    double leftMs(Life life) {
+        return life.takenAt + life.ask.waitMs() - clock.now();
+    }
+
     void giveUpValue(Life life) {
         if (!life.over && life.passing != null) {
             life.passing.attempt().running.giveUp();
--- a/gateway/src/main/java/opalcove/gateway/Life.java
+++ b/gateway/src/main/java/opalcove/gateway/Life.java
@@ -109,6 +109,11 @@
         gateway.leave(this);
     }
 
+    @Override
+    public double leftMs() {
+        return gateway.leftMs(this);
+    }
+
     @Override
     public void giveUpValue() {
         gateway.giveUpValue(this);
--- a/gateway/src/main/java/opalcove/platform/RespFront.java
+++ b/gateway/src/main/java/opalcove/platform/RespFront.java
@@ -55,6 +55,8 @@
      * clients share: what waits longer than half a second for its answer is lost, however little time its client gave it.
      */
     private static final int MOST_PENALTIES = 4;
+    /** How long after its request's time a value that has begun to come, and of which nothing is written, is waited for, ms. */
+    private static final long VALUE_GRACE_MS = 200;
     /** How often the event loop is woken at the least, ms: it cannot see that it stood still for less than its sleep. */
     private static final long HEARTBEAT_MS = 100;
     /** Connections that may turn out to be in use before a new one is turned away for want of room. */
@@ -329,6 +331,8 @@
         private boolean flowing;
         /** Whether it is not written before it is whole. */
         private boolean gathers;
+        /** Its turn has come and a timer bounds how long it is waited for. */
+        private boolean waits;
         /** Whether its slot has another answer, and what comes of it is dropped. */
         private boolean abandoned;
         /** Its parts that came and are not written. */
@@ -378,14 +382,32 @@
             }
             if (!early.isEmpty() && !gathers && !slot.terminal.isAlone(slot)) {
                 if (!gathered.take(value.length())) {
-                    abandon();
+                    abandon("requests are behind it, and there is no room to gather it");
                     return false;
                 }
                 gathers = true;
                 taken = value.length();
             }
             value.reads(true);
-            return !early.isEmpty() && !gathers;
+            boolean begins = !early.isEmpty() && !gathers;
+            if (!begins) {
+                waitNoLongerThanItsTime();
+            }
+            return begins;
+        }
+
+        /** Guards the answer against a node that gives the rest of a value late: what is not being written is owed in time. */
+        private void waitNoLongerThanItsTime() {
+            if (waits || slot.ask == null) {
+                return;
+            }
+            waits = true;
+            long ms = (long) Math.max(0, slot.ask.leftMs()) + VALUE_GRACE_MS;
+            vertx.setTimer(ms, due -> {
+                if (!flowing && !abandoned && !value.whole() && !slot.answered && !slot.terminal.closing) {
+                    abandon("its time is over and it is not whole");
+                }
+            });
         }
 
         private void begin() {
@@ -415,10 +437,9 @@
             }
         }
 
-        /** There is no room to gather it, and to pass it on would put the requests behind it at risk: it alone fails. */
-        private void abandon() {
-            Logger.warn(
-                    "a value of {} bytes is given up: requests behind it, and no room to gather it", value.length());
+        /** It fails, alone: nothing of it was written, so the connection and the requests behind it go on. */
+        private void abandon(String cause) {
+            Logger.warn("a value of {} bytes is given up: {}", value.length(), cause);
             abandoned = true;
             Gateway.UnderWay ask = slot.ask;
             drop();
@@ -697,7 +718,11 @@
                 return false;
             }
             gateway.clientStalled();
-            broken("half a command");
+            if (slots.isEmpty()) {
+                part();
+            } else {
+                broken("half a command");
+            }
             return true;
         }
 
--- a/gateway/src/test/java/opalcove/platform/LongValueTest.java
+++ b/gateway/src/test/java/opalcove/platform/LongValueTest.java
@@ -219,6 +219,25 @@
         }
     }
 
+    @Test
+    public void aGatheredValueThatStandsStillIsAnsweredOtherwiseOnceItsTimeIsOver() throws Exception {
+        try (Stage stage = new Stage()) {
+            Stage.Node node = stage.node("n1");
+            stage.told(node.is(Admission.State.UP));
+            Socket terminal = stage.terminal();
+            Stage.say(terminal, Stage.query(1, 600) + Stage.query(2, 4000));
+            Stage.Line first = node.withCommand();
+            Stage.Line second = node.withCommand();
+            first.command();
+            first.say("*3\r\n" + HEAD + "v".repeat(100_000));
+            second.serve("second");
+            assertTrue(Stage.answer(terminal).startsWith("-ERR"));
+            assertEquals(Stage.answer(terminal), "second");
+            assertTrue(first.ended(), "its node is not read on");
+            assertTrue(stage.figure("attempts_cancelled") > 0, "given up by the gateway, not ended as one that broke");
+        }
+    }
+
     @Test
     public void aValueTooLongToBeGatheredFailsAloneWhereRequestsAreBehindIt() throws Exception {
         try (Stage stage = new Stage()) {
--- a/laboratory/src/main/java/opalcove/laboratory/soak/History.java
+++ b/laboratory/src/main/java/opalcove/laboratory/soak/History.java
@@ -4,6 +4,7 @@
 import java.util.HashMap;
 import java.util.LinkedHashMap;
 import java.util.List;
+import java.util.Locale;
 import java.util.Map;
 
 /**
@@ -85,6 +86,18 @@
 
         boolean turnedAway;
 
+        @Override
+        public String toString() {
+            return String.format(
+                    Locale.ROOT,
+                    "[backend %d, sent %.0f, d=%d, over %.0f%s]",
+                    backend,
+                    firstByteAt,
+                    waitMs,
+                    overAt,
+                    turnedAway ? ", turned away" : "");
+        }
+
         Attempt(Request request, int gateway, int backend, double firstByteAt, double wholeAt, int waitMs) {
             this.request = request;
             this.gateway = gateway;
--- a/laboratory/src/main/java/opalcove/laboratory/soak/Oracle.java
+++ b/laboratory/src/main/java/opalcove/laboratory/soak/Oracle.java
@@ -127,12 +127,16 @@
     private static String describe(Request request) {
         return String.format(
                 Locale.ROOT,
-                "%s %s d=%d on connection %d, written at %.0f",
+                "%s %s d=%d on connection %d, written at %.0f, %s at %.0f, its turn at %.0f, attempts %s:",
                 request.requestClass,
                 request.id,
                 request.waitMs,
                 request.connection,
-                request.sentAt);
+                request.sentAt,
+                request.end,
+                request.endAt,
+                request.turnAt,
+                request.attempts);
     }
 
     private void judgeAttempts(Request request) {
