--- a/cli/src/main/java/opalcove/cli/SoakCommand.java
+++ b/cli/src/main/java/opalcove/cli/SoakCommand.java
@@ -10,6 +10,7 @@
 import java.util.concurrent.Executors;
 import java.util.concurrent.Future;
 import opalcove.laboratory.soak.Coverage;
+import opalcove.laboratory.soak.FaultCase;
 import opalcove.laboratory.soak.Soak;
 import opalcove.laboratory.soak.SoakPlan;
 import opalcove.laboratory.soak.SoakResult;
@@ -63,6 +64,12 @@
     @Option(names = "--without", paramLabel = "N", split = ",", description = "numbers of troubles that are left out")
     private Set<Integer> without = Set.of();
 
+    @Option(names = "--cases", description = "play each fault of the machine alone, and print a table of them")
+    private boolean cases;
+
+    @Option(names = "--program", paramLabel = "JAR", description = "the gateway program (default: this one)")
+    private Path program;
+
     @Option(
             names = "--kinds",
             paramLabel = "KIND",
@@ -87,10 +94,18 @@
 
     @Override
     public Integer call() throws Exception {
-        Soak soak = new Soak(folder == null ? Files.createTempDirectory("soak") : folder);
+        Path files = folder == null ? Files.createTempDirectory("soak") : folder;
+        Soak soak = program == null ? new Soak(files) : new Soak(files, program.toString());
         if (!soak.hasShim()) {
             System.out.println("no C compiler was found: no system calls are failed in these runs");
         }
+        if (cases) {
+            System.out.println(FaultCase.Outcome.head());
+            for (FaultCase each : FaultCase.values()) {
+                System.out.println(each.play(soak, seed, seconds * 1000).row());
+            }
+            return 0;
+        }
         if (shrink != null) {
             System.out.print(soak.shrink(plan(seed), shrink).text());
             return 0;
--- a/decision/src/main/java/opalcove/decision/Admission.java
+++ b/decision/src/main/java/opalcove/decision/Admission.java
@@ -222,6 +222,11 @@
 
     /** A line of the host list; startedMs is 0 where the start is long ago. */
     record Host(String id, String zone, String kind, int cell, State state, double size, double startedMs) {
+        /** The same host, started at that time. */
+        public Host started(double ms) {
+            return new Host(id, zone, kind, cell, state, size, ms);
+        }
+
         /** The same host, started at that time at the earliest. */
         public Host startedSince(double ms) {
             return new Host(id, zone, kind, cell, state, size, Math.max(startedMs, ms));
--- a/gateway/src/main/java/opalcove/gateway/Counters.java
+++ b/gateway/src/main/java/opalcove/gateway/Counters.java
@@ -21,6 +21,7 @@
     long probes;
     long listCallsFailed;
     long listsRefused;
+    long startsOfOtherClocks;
     long connectionsClosedForDescriptors;
     long connectionsRefusedForDescriptors;
     private final long[] ends = new long[Admission.Result.values().length];
@@ -49,6 +50,7 @@
         line(text, "terminals_left", left);
         line(text, "list_calls_failed", listCallsFailed);
         line(text, "lists_refused", listsRefused);
+        line(text, "starts_of_other_clocks", startsOfOtherClocks);
         line(text, "connections_closed_for_descriptors", connectionsClosedForDescriptors);
         line(text, "connections_refused_for_descriptors", connectionsRefusedForDescriptors);
         line(text, "stopped_by_guards", guarded);
--- a/gateway/src/main/java/opalcove/gateway/Gateway.java
+++ b/gateway/src/main/java/opalcove/gateway/Gateway.java
@@ -50,6 +50,7 @@
     private final Alarms alarms;
     private final NodeLinks links;
     private final NodeList nodes = new NodeList();
+    private final NodeStarts starts = new NodeStarts();
     private final Guards guards;
     private final Counters counters = new Counters();
     private final RuleChecks checks = new RuleChecks();
@@ -128,7 +129,7 @@
         generations.removeIf(Generation::done);
         generations.add(current);
         Generation told = current;
-        List<Admission.Host> listed = nodes.all().stream().map(AppNode::host).toList();
+        List<Admission.Host> listed = starts.hosts(nodes.all());
         tell(() -> told.module.hosts(clock.now(), true, listed));
     }
 
@@ -634,8 +635,23 @@
 
     /** Takes in the node list, whole or its changed lines. */
     public void nodesTold(boolean whole, List<AppNode> lines) {
+        nodesTold(whole, lines, 0);
+        listHeard();
+    }
+
+    /**
+     * The same by discovery, whose own time was that as it gave the list (0: it is not known); {@link #listHeard} follows.
+     */
+    public void nodesTold(boolean whole, List<AppNode> lines, double discoveryNow) {
         nodes.told(whole, lines).forEach(links::forget);
-        List<Admission.Host> hosts = lines.stream().map(AppNode::host).toList();
+        int apart = starts.apart();
+        List<Admission.Host> hosts = starts.told(whole, lines, clock.now(), discoveryNow);
+        if (starts.apart() > apart) {
+            counters.startsOfOtherClocks += starts.apart() - apart;
+            Logger.warn(
+                    "{} nodes have started at times that cannot be by this machine's clock: taken to have started now",
+                    starts.apart() - apart);
+        }
         generations.removeIf(Generation::done);
         for (Generation each : generations) {
             tell(() -> each.module.hosts(clock.now(), whole, hosts));
@@ -646,7 +662,7 @@
     /** Listed nodes that get no new work now, be it by the list's word or by the module's. */
     private void countAvoided() {
         Set<String> used = new HashSet<>();
-        for (Policy.Room each : current.module.rooms(clock.now())) {
+        for (Policy.Room each : rooms()) {
             if (each.share() > 0) {
                 used.add(each.host());
             }
@@ -665,11 +681,21 @@
         }
     }
 
+    /** What the newest module would give each node now. */
+    List<Policy.Room> rooms() {
+        return current.module.rooms(clock.now());
+    }
+
     /** The node list as last told. */
     public List<AppNode> nodes() {
         return nodes.all();
     }
 
+    /** The source of the node list was heard, with or without news. */
+    public void listHeard() {
+        starts.heard(clock.now());
+    }
+
     /** Discovery was asked and gave no list that can be used: none at all, or one that was refused. */
     public void listUntold(boolean refused) {
         if (refused) {
--- a/gateway/src/main/java/opalcove/platform/DiscoveryWatch.java
+++ b/gateway/src/main/java/opalcove/platform/DiscoveryWatch.java
@@ -1,5 +1,6 @@
 package opalcove.platform;
 
+import io.netty.handler.codec.DateFormatter;
 import io.vertx.core.Future;
 import io.vertx.core.Promise;
 import io.vertx.core.Vertx;
@@ -8,9 +9,11 @@
 import io.vertx.core.http.HttpClientOptions;
 import io.vertx.core.http.HttpClientRequest;
 import io.vertx.core.http.HttpClientResponse;
+import io.vertx.core.http.HttpHeaders;
 import io.vertx.core.http.HttpMethod;
 import io.vertx.core.http.RequestOptions;
 import java.util.ArrayList;
+import java.util.Date;
 import java.util.List;
 import java.util.concurrent.TimeUnit;
 import java.util.random.RandomGenerator;
@@ -149,8 +152,11 @@
 
     /** Takes in lines of the node list. */
     public interface Listener {
-        /** The list, whole or only its changed entries. */
-        void told(boolean whole, List<AppNode> lines);
+        /** The list, whole or only its changed entries; discovery's own time as it gave them, or 0 where it told none. */
+        void told(boolean whole, List<AppNode> lines, double discoveryNow);
+
+        /** A call was answered, with or without news, which were told before. */
+        default void heard() {}
 
         /** A call has brought no list that can be used: none at all, or one that is refused. */
         default void untold(boolean refused) {}
@@ -175,6 +181,9 @@
     private long movedAt;
 
     private HttpClientRequest running;
+    /** Discovery's own time as its last answer told it, in Unix milliseconds; 0 where it did not. */
+    private double discoveryNow;
+
     private long index = NO_INDEX;
     private boolean silent;
     private boolean started;
@@ -391,6 +400,9 @@
 
     private Future<Buffer> body(HttpClientResponse response) {
         int status = response.statusCode();
+        String date = response.getHeader(HttpHeaders.DATE);
+        Date told = date == null ? null : DateFormatter.parseHttpDate(date);
+        discoveryNow = told == null ? 0 : told.getTime();
         // The body is waited for in either case. Guards the client's few connections against refusals whose body never
         // comes: each would keep one, until no call could be made any more.
         Future<Buffer> whole = response.body();
@@ -432,8 +444,9 @@
             silent = false;
             pace.again().reset();
             if (whole || !lines.isEmpty()) {
-                listener.told(whole, lines);
+                listener.told(whole, lines, discoveryNow);
             }
+            listener.heard();
             first.tryComplete();
             return Future.succeededFuture();
         } catch (BadSettings e) {
--- a/gateway/src/main/java/opalcove/platform/Serve.java
+++ b/gateway/src/main/java/opalcove/platform/Serve.java
@@ -92,7 +92,7 @@
         parts.door().serve(vertx, gateway, front, program.phases());
         if (!config.known().isEmpty()) {
             // An empty list would make every node of discovery's first one look newly started, and cold.
-            gateway.nodesTold(true, config.known());
+            gateway.nodesTold(true, config.known(), 0);
         }
         parts.hangups().listen(() -> reload(config, vertx, discovery, gateway, versions));
         listKnown(vertx, discovery, versions, parts).onComplete(ready -> {
@@ -225,12 +225,17 @@
 
         /** Discovery's word holds where no agreed version has the list. */
         @Override
-        public void told(boolean whole, List<AppNode> lines) {
+        public void told(boolean whole, List<AppNode> lines, double discoveryNow) {
             if (acting == null || acting.nodes() == null) {
-                gateway.nodesTold(whole, cold(lines));
+                gateway.nodesTold(whole, cold(lines), discoveryNow);
             }
         }
 
+        @Override
+        public void heard() {
+            gateway.listHeard();
+        }
+
         @Override
         public void untold(boolean refused) {
             gateway.listUntold(refused);
--- /dev/null
+++ b/gateway/src/test/java/opalcove/gateway/ClocksApartTest.java
@@ -0,0 +1,133 @@
+package opalcove.gateway;
+
+import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertTrue;
+
+import io.vertx.core.Vertx;
+import java.util.List;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.TimeUnit;
+import java.util.function.Supplier;
+import opalcove.Facts;
+import opalcove.decision.Admission;
+import org.testng.annotations.AfterMethod;
+import org.testng.annotations.BeforeMethod;
+import org.testng.annotations.DataProvider;
+import org.testng.annotations.Test;
+
+/** A backend that has restarted is cold from when that was told, whatever the clocks of the machines say. */
+public class ClocksApartTest {
+    private static final double HOUR_MS = 3_600_000;
+    private static final double LONG_AGO_MS = 10 * HOUR_MS;
+
+    private Vertx vertx;
+    private Gateway gateway;
+
+    @BeforeMethod
+    public void open() throws Exception {
+        vertx = Vertx.vertx();
+        gateway = onLoop(() -> new Gateway(vertx, new Clock(), Facts.settings(), 1, new NoLinks()));
+    }
+
+    @AfterMethod
+    public void close() {
+        vertx.close();
+    }
+
+    @DataProvider
+    public Object[][] offsets() {
+        return new Object[][] {{0.0}, {-HOUR_MS}, {HOUR_MS}, {-30_000.0}, {30_000.0}};
+    }
+
+    /** The offset is that of discovery's clock from this machine's. */
+    @Test(dataProvider = "offsets")
+    public void aRestartThatIsToldMakesItsBackendColdFromThenOn(double offsetMs) throws Exception {
+        double discoveryNow = System.currentTimeMillis() + offsetMs;
+        told(node("a", discoveryNow - LONG_AGO_MS), node("b", discoveryNow - LONG_AGO_MS));
+        assertEquals(share("a"), 1.0);
+        assertEquals(share("b"), 1.0);
+        told(node("a", discoveryNow - LONG_AGO_MS), node("b", discoveryNow));
+        assertEquals(share("a"), 1.0);
+        double cold = Facts.settings().duties().coldShare();
+        assertTrue(share("b") > 0 && share("b") < 1.5 * cold, "b has a share of " + share("b"));
+    }
+
+    @Test(dataProvider = "offsets")
+    public void aNewBackendIsColdFromWhenItWasTold(double offsetMs) throws Exception {
+        double discoveryNow = System.currentTimeMillis() + offsetMs;
+        told(node("a", discoveryNow - LONG_AGO_MS));
+        told(node("a", discoveryNow - LONG_AGO_MS), node("b", discoveryNow));
+        double cold = Facts.settings().duties().coldShare();
+        assertTrue(share("b") > 0 && share("b") < 1.5 * cold, "b has a share of " + share("b"));
+    }
+
+    @Test
+    public void aStartTimeThatGoesBackIsARestart() throws Exception {
+        double now = System.currentTimeMillis();
+        told(node("a", now - HOUR_MS));
+        told(node("a", now - 2 * HOUR_MS));
+        assertTrue(share("a") < 0.5, "a has a share of " + share("a"));
+    }
+
+    @Test
+    public void theSameListAgainChangesNothing() throws Exception {
+        double now = System.currentTimeMillis();
+        told(node("a", now - LONG_AGO_MS), node("b", now + HOUR_MS));
+        double before = share("b");
+        told(node("a", now - LONG_AGO_MS), node("b", now + HOUR_MS));
+        assertEquals(share("a"), 1.0);
+        assertTrue(share("b") >= before, "not cold anew");
+    }
+
+    @Test
+    public void backendsOfTheFirstListAreComparedWithTheYoungestWhereDiscoverysClockIsAhead() throws Exception {
+        double discoveryNow = System.currentTimeMillis() + HOUR_MS;
+        told(
+                node("old", discoveryNow - LONG_AGO_MS),
+                node("older", discoveryNow - HOUR_MS / 2),
+                node("new", discoveryNow));
+        assertEquals(share("old"), 1.0);
+        assertEquals(share("older"), 1.0, "half an hour older than the youngest");
+        assertTrue(share("new") < 0.5, "the youngest has a share of " + share("new"));
+    }
+
+    private void told(AppNode... nodes) throws Exception {
+        onLoop(() -> {
+            gateway.nodesTold(true, List.of(nodes));
+            return null;
+        });
+    }
+
+    private static AppNode node(String name, double startedMs) {
+        return new AppNode(
+                new Admission.Host(name, "room-a", "app", 0, Admission.State.UP, 1, startedMs), "127.0.0.1:1");
+    }
+
+    private double share(String name) throws Exception {
+        return onLoop(() -> gateway.rooms().stream()
+                .filter(room -> room.host().equals(name))
+                .findFirst()
+                .orElseThrow()
+                .share());
+    }
+
+    private <T> T onLoop(Supplier<T> work) throws Exception {
+        CompletableFuture<T> done = new CompletableFuture<>();
+        vertx.runOnContext(run -> {
+            try {
+                done.complete(work.get());
+            } catch (Throwable e) {
+                done.completeExceptionally(e);
+            }
+        });
+        return done.get(20, TimeUnit.SECONDS);
+    }
+
+    /** No attempt is made in this test. */
+    private static final class NoLinks extends QuietLinks {
+        @Override
+        public Attempt attempt(AppNode node, Ask ask, double waitMs, Ended ended) {
+            throw new AssertionError("no attempt is made here");
+        }
+    }
+}
--- a/gateway/src/test/java/opalcove/platform/DiscoveryBoundsTest.java
+++ b/gateway/src/test/java/opalcove/platform/DiscoveryBoundsTest.java
@@ -230,7 +230,7 @@
                 .get(20, TimeUnit.SECONDS)
                 .actualPort();
         CompletableFuture<AppNode> drained = new CompletableFuture<>();
-        follow(port, (whole, lines) -> lines.stream()
+        follow(port, (whole, lines, discoveryNow) -> lines.stream()
                 .filter(line -> line.host().state() == Admission.State.DRAINING)
                 .forEach(drained::complete));
         assertEquals(drained.get(20, TimeUnit.SECONDS).name(), "s-1", kind);
@@ -246,7 +246,7 @@
         }
         follow(port, new DiscoveryWatch.Listener() {
             @Override
-            public void told(boolean whole, List<AppNode> lines) {}
+            public void told(boolean whole, List<AppNode> lines, double discoveryNow) {}
 
             @Override
             public void untold(boolean refused) {
--- a/gateway/src/test/java/opalcove/platform/DiscoveryWatchTest.java
+++ b/gateway/src/test/java/opalcove/platform/DiscoveryWatchTest.java
@@ -137,7 +137,7 @@
             assertEquals(pace.connectMs(), silenceMs);
             watch(agent.getLocalPort(), pace, new DiscoveryWatch.Listener() {
                 @Override
-                public void told(boolean whole, List<AppNode> lines) {
+                public void told(boolean whole, List<AppNode> lines, double discoveryNow) {
                     listed.countDown();
                 }
 
@@ -216,7 +216,7 @@
                 new DiscoveryWatch.Pace(10_000, 20_000, 0, new GrowingWait(1, 2, new SplittableRandom(1))),
                 new DiscoveryWatch.Listener() {
                     @Override
-                    public void told(boolean whole, List<AppNode> lines) {
+                    public void told(boolean whole, List<AppNode> lines, double discoveryNow) {
                         lines.forEach(line -> told.add(line.host().state().name()));
                     }
 
@@ -258,7 +258,7 @@
         watch(
                 port,
                 new DiscoveryWatch.Pace(20, 500, 0, new GrowingWait(1, 2, new SplittableRandom(1))),
-                (whole, lines) -> lines.stream()
+                (whole, lines, discoveryNow) -> lines.stream()
                         .filter(line -> line.host().state() == Admission.State.DRAINING)
                         .forEach(drained::complete));
         assertEquals(drained.get(20, TimeUnit.SECONDS).name(), "s-1");
@@ -298,7 +298,7 @@
         DiscoveryWatch watch = watch(
                 old,
                 new DiscoveryWatch.Pace(10_000, 20_000, 0, new GrowingWait(1, 2, new SplittableRandom(1))),
-                (whole, lines) -> lines.forEach(
+                (whole, lines, discoveryNow) -> lines.forEach(
                         line -> told.add(line.name() + " " + line.host().state())));
         watched.get(20, TimeUnit.SECONDS);
         vertx.runOnContext(move -> watch.moveTo(new Endpoint("127.0.0.1", elsewhere)));
@@ -317,7 +317,7 @@
             watch(
                     discovery.getLocalPort(),
                     new DiscoveryWatch.Pace(10_000, silenceMs, 0, new GrowingWait(1, 2, new SplittableRandom(1))),
-                    (whole, lines) -> heard.complete(lines.get(0)));
+                    (whole, lines, discoveryNow) -> heard.complete(lines.get(0)));
             try (Socket line = discovery.accept()) {
                 assertEquals(call(line), "GET /v1/endpoints HTTP/1.1");
                 CountDownLatch held = new CountDownLatch(1);
@@ -356,7 +356,7 @@
                     }
                 }),
                 new DiscoveryWatch.Pace(10_000, 20_000, 0, new GrowingWait(1, 2, new SplittableRandom(1))),
-                (whole, lines) -> told.addAll(lines));
+                (whole, lines, discoveryNow) -> told.addAll(lines));
         HttpServerRequest call = held.get(20, TimeUnit.SECONDS);
         assertFalse(watch.firstWord(true).isComplete(), "opens while the list is on its way");
         call.response().end("{\"index\":4,\"snapshot\":true,\"endpoints\":[" + NODE + "]}");
@@ -369,7 +369,7 @@
                     each.response().setStatusCode(503).end();
                 }),
                 new DiscoveryWatch.Pace(10_000, 20_000, 0, new GrowingWait(1, 2, new SplittableRandom(1))),
-                (whole, lines) -> told.addAll(lines));
+                (whole, lines, discoveryNow) -> told.addAll(lines));
         away.firstWord(true).toCompletionStage().toCompletableFuture().get(20, TimeUnit.SECONDS);
         assertTrue(refused.size() >= 2, refused + "");
         assertEquals(told.size(), 1);
@@ -415,7 +415,7 @@
                     vertx,
                     new Endpoint("127.0.0.1", port),
                     new DiscoveryWatch.Pace(10_000, 20_000, 0, new GrowingWait(1, 2, new SplittableRandom(1))),
-                    (whole, lines) ->
+                    (whole, lines, discoveryNow) ->
                             lines.forEach(line -> told.add(line.host().state().name())));
             watch.firstWord(fresh).onSuccess(word -> knownAtTheWord.complete(List.copyOf(told)));
             watch.start();
@@ -441,7 +441,7 @@
                     vertx,
                     new Endpoint("127.0.0.1", 1),
                     new DiscoveryWatch.Pace(10_000, 20_000, 0, new GrowingWait(1, 2, new SplittableRandom(1))),
-                    (whole, lines) -> {});
+                    (whole, lines, discoveryNow) -> {});
             watch.moveTo(new Endpoint("127.0.0.1", elsewhere));
             watch.startFrom(41);
         });
@@ -551,7 +551,7 @@
                         vertx,
                         new Endpoint("127.0.0.1", port),
                         new DiscoveryWatch.Pace(10_000, 20_000, 1, waits),
-                        (whole, lines) -> nodes.addAll(lines))
+                        (whole, lines, discoveryNow) -> nodes.addAll(lines))
                 .startFrom(known)
                 .onSuccess(first::complete));
         over.get(20, TimeUnit.SECONDS);
--- /dev/null
+++ b/laboratory/src/main/java/opalcove/laboratory/soak/FaultCase.java
@@ -0,0 +1,215 @@
+package opalcove.laboratory.soak;
+
+import java.util.List;
+import java.util.Locale;
+import java.util.Set;
+import java.util.concurrent.TimeUnit;
+import opalcove.laboratory.soak.FaultShim.Call;
+import opalcove.laboratory.soak.FaultShim.Errno;
+import opalcove.laboratory.soak.FaultShim.Kind;
+import opalcove.laboratory.soak.History.Attempt;
+import opalcove.laboratory.soak.History.End;
+import opalcove.laboratory.soak.History.Request;
+
+/** One fault for the whole of a run, at one gateway before six backends: what the machine under a gateway may do to it. */
+public enum FaultCase {
+    NONE(),
+    ACCEPT_ENFILE(Call.ACCEPT, 20, Errno.ENFILE, Kind.CLIENT),
+    ACCEPT_ENOBUFS(Call.ACCEPT, 20, Errno.ENOBUFS, Kind.CLIENT),
+    ACCEPT_ECONNABORTED(Call.ACCEPT, 5, Errno.ECONNABORTED, Kind.CLIENT),
+    SOCKET_EMFILE(Call.SOCKET, 2, Errno.EMFILE, Kind.BACKEND),
+    CONNECT_EADDRNOTAVAIL(Call.CONNECT, 2, Errno.EADDRNOTAVAIL, Kind.BACKEND),
+    CONNECT_ENETUNREACH(Call.CONNECT, 2, Errno.ENETUNREACH, Kind.BACKEND),
+    READ_ETIMEDOUT(Call.READ, 50, Errno.ETIMEDOUT, Kind.BACKEND),
+    READ_EHOSTUNREACH(Call.READ, 50, Errno.EHOSTUNREACH, Kind.BACKEND),
+    READ_SHORT(Call.READ, 2, Errno.SHORT_TRANSFER, Kind.CLIENT, Kind.BACKEND, Kind.DISCOVERY),
+    WRITE_SHORT(Call.WRITE, 2, Errno.SHORT_TRANSFER, Kind.CLIENT, Kind.BACKEND, Kind.DISCOVERY),
+    WAIT_EINTR(Call.WAIT, 3, Errno.EINTR, Kind.FILE),
+    DISCOVERY_READ_ETIMEDOUT(Call.READ, 5, Errno.ETIMEDOUT, Kind.DISCOVERY),
+    DISCOVERY_CONNECT_ENETUNREACH(Call.CONNECT, 2, Errno.ENETUNREACH, Kind.DISCOVERY),
+    STOPPED_500_MS(),
+    RESTARTS(),
+    RESTARTS_CLOCK_AHEAD(),
+    RESTARTS_CLOCK_BEHIND();
+
+    private static final long HOUR_MS = 3_600_000;
+    private static final int RESTARTED = 2;
+    private static final int RESTART_AFTER_MS = 3000;
+    private static final int AWAY_MS = 300;
+    private static final int SHARE_MS = 3000;
+    private static final int STOP_MS = 500;
+    private static final int STOP_EVERY_MS = 1500;
+    private static final int BACKENDS = 6;
+    private static final double REQUESTS_PER_S = 100;
+    private static final double DEADLINE_SLACK_MS = 150;
+
+    private final Call call;
+    private final int oneIn;
+    private final Errno errno;
+    private final List<Kind> kinds;
+
+    FaultCase() {
+        this(null, 0, null);
+    }
+
+    FaultCase(Call call, int oneIn, Errno errno, Kind... kinds) {
+        this.call = call;
+        this.oneIn = oneIn;
+        this.errno = errno;
+        this.kinds = List.of(kinds);
+    }
+
+    /** How long requests that were served took, ms: all of them, and those that were the first on their connection. */
+    public record Times(double p50Ms, double p99Ms, double newP99Ms) {}
+
+    /**
+     * What came of a case.
+     *
+     * @param toldTooMuch attempts that told a deadline 150 ms and more over what their client had left
+     * @param restartedShare part of the attempts in the 3 s after two backends were started anew that went to those, or NaN
+     */
+    public record Outcome(
+            FaultCase fault,
+            long hits,
+            int requests,
+            int served,
+            Times times,
+            long toldTooMuch,
+            double restartedShare,
+            Set<SoakRule> broken) {
+        /** One row of a Markdown table. */
+        public String row() {
+            String share = Double.isNaN(restartedShare) ? "" : Math.round(100 * restartedShare) + "%";
+            return String.format(
+                    Locale.ROOT,
+                    "| %s | %d | %d of %d | %.0f | %.0f | %.0f | %d | %s | %s |",
+                    fault,
+                    hits,
+                    served,
+                    requests,
+                    times.p50Ms(),
+                    times.p99Ms(),
+                    times.newP99Ms(),
+                    toldTooMuch,
+                    share,
+                    broken.isEmpty() ? "none" : broken);
+        }
+
+        /** The head of that table. */
+        public static String head() {
+            return "| fault | hits | served | p50, ms | p99, ms | p99 on new connections, ms | `d` too long | to restarted"
+                    + " | rules broken |\n| --- | --- | --- | --- | --- | --- | --- | --- | --- |";
+        }
+    }
+
+    private boolean restarts() {
+        return this == RESTARTS || this == RESTARTS_CLOCK_AHEAD || this == RESTARTS_CLOCK_BEHIND;
+    }
+
+    /** Plays the case for so long. */
+    public Outcome play(Soak soak, long seed, int lengthMs) throws Exception {
+        SoakPlan.Setup setup = new SoakPlan.Setup(true, 1000, 6, false, true, "cell", 30_000);
+        SoakPlan plan = new SoakPlan(seed, 1, BACKENDS, lengthMs, REQUESTS_PER_S, setup, List.of());
+        Play play = new Play(lengthMs);
+        SoakResult result = soak.run(plan, false, play);
+        return play.outcome(result.brokenRules());
+    }
+
+    /** The case on one run's processes. */
+    private final class Play implements Soak.Setting {
+        private final int lengthMs;
+        private History history;
+        private double restartedAt = Double.NaN;
+        private long hits;
+
+        Play(int lengthMs) {
+            this.lengthMs = lengthMs;
+        }
+
+        @Override
+        public long clockAheadMs() {
+            return switch (FaultCase.this) {
+                case RESTARTS_CLOCK_AHEAD -> HOUR_MS;
+                case RESTARTS_CLOCK_BEHIND -> -HOUR_MS;
+                default -> 0;
+            };
+        }
+
+        @Override
+        public void begin(SoakRig rig) throws Exception {
+            FaultShim shim = rig.gateway(0).shim().orElseThrow();
+            kinds.forEach(kind -> shim.fail(call, kind, oneIn, errno));
+            if (FaultCase.this == STOPPED_500_MS) {
+                stopAgainAndAgain(rig);
+            } else if (restarts()) {
+                TimeUnit.MILLISECONDS.sleep(RESTART_AFTER_MS);
+                for (int i = 0; i < RESTARTED; i++) {
+                    rig.restartBackend(i, AWAY_MS);
+                }
+                restartedAt = rig.clock.now();
+            }
+        }
+
+        private void stopAgainAndAgain(SoakRig rig) throws InterruptedException {
+            for (int i = 0; i < lengthMs / STOP_EVERY_MS - 1; i++) {
+                TimeUnit.MILLISECONDS.sleep(STOP_EVERY_MS - STOP_MS);
+                rig.gateway(0).signal("STOP");
+                TimeUnit.MILLISECONDS.sleep(STOP_MS);
+                rig.gateway(0).signal("CONT");
+                hits++;
+            }
+        }
+
+        @Override
+        public void end(SoakRig rig) {
+            FaultShim shim = rig.gateway(0).shim().orElseThrow();
+            hits += shim.clockHits();
+            hits += shim.hits().values().stream().mapToLong(Long::longValue).sum();
+            history = rig.history;
+        }
+
+        Outcome outcome(Set<SoakRule> broken) {
+            List<Request> served = history.requests.values().stream()
+                    .filter(request -> request.end == End.SERVED)
+                    .toList();
+            List<Request> first =
+                    served.stream().filter(request -> !request.onUsedConnection).toList();
+            Times times = new Times(percentile(served, 0.5), percentile(served, 0.99), percentile(first, 0.99));
+            long toldTooMuch =
+                    history.attempts.stream().filter(FaultCase::tellsTooMuch).count();
+            return new Outcome(
+                    FaultCase.this,
+                    hits,
+                    history.requests.size(),
+                    served.size(),
+                    times,
+                    toldTooMuch,
+                    restartedShare(),
+                    broken);
+        }
+
+        private double restartedShare() {
+            List<Attempt> after = history.attempts.stream()
+                    .filter(attempt ->
+                            attempt.firstByteAt >= restartedAt && attempt.firstByteAt < restartedAt + SHARE_MS)
+                    .toList();
+            long to = after.stream()
+                    .filter(attempt -> attempt.backend < RESTARTED)
+                    .count();
+            return after.isEmpty() ? Double.NaN : (double) to / after.size();
+        }
+    }
+
+    private static boolean tellsTooMuch(Attempt attempt) {
+        double left = attempt.request.waitMs - (attempt.firstByteAt - attempt.request.sentAt);
+        return attempt.request.sentAt >= 0 && attempt.waitMs > Math.max(0, left) + DEADLINE_SLACK_MS;
+    }
+
+    private static double percentile(List<Request> requests, double part) {
+        double[] times = requests.stream()
+                .mapToDouble(request -> request.endAt - request.sentAt)
+                .sorted()
+                .toArray();
+        return times.length == 0 ? Double.NaN : times[(int) Math.min(times.length - 1, part * times.length)];
+    }
+}
--- a/laboratory/src/main/java/opalcove/laboratory/soak/GatewayProcess.java
+++ b/laboratory/src/main/java/opalcove/laboratory/soak/GatewayProcess.java
@@ -29,6 +29,15 @@
     private static final int PATIENCE_MS = 30_000;
 
     private static final int DESCRIPTORS = 256;
+
+    /**
+     * What gateways are started with.
+     *
+     * @param shimLibrary the library that fails system calls, where there is one
+     * @param gatewayClassPath where the program is
+     */
+    record Means(Optional<Path> shimLibrary, String gatewayClassPath) {}
+
     private static final Pattern COUNTED_VIOLATION = Pattern.compile("rule_broken\\.(\\w+)=([1-9]\\d*)");
     private static final Pattern COUNTED_SLIP =
             Pattern.compile("(stopped_by_guards|ended_by_deadline_guard)=([1-9]\\d*)");
@@ -40,28 +49,24 @@
     private final List<SoakViolation> violations;
     private final Socket holder = new Socket();
     private final Optional<FaultShim> shim;
-    private final Optional<Path> library;
+    private final Means means;
     private volatile Process process;
     /** The process that a signal of the soak is to end, or has ended. */
     private volatile Process ending;
 
     private volatile boolean killed;
 
-    GatewayProcess(
-            int number,
-            SoakPlan plan,
-            Path folder,
-            SoakClock clock,
-            Optional<Path> library,
-            List<SoakViolation> violations)
+    GatewayProcess(int number, SoakPlan plan, Path folder, SoakClock clock, Means means, List<SoakViolation> violations)
             throws IOException {
         this.number = number;
         this.plan = plan;
         this.folder = folder;
         this.clock = clock;
-        this.library = library;
+        this.means = means;
         this.violations = violations;
-        shim = library.isPresent() ? Optional.of(new FaultShim(folder.resolve("shim-" + number))) : Optional.empty();
+        shim = means.shimLibrary().isPresent()
+                ? Optional.of(new FaultShim(folder.resolve("shim-" + number)))
+                : Optional.empty();
         // Keeps the port for this gateway through its restarts: it does not listen, so nobody is connected meanwhile.
         holder.setOption(StandardSocketOptions.SO_REUSEPORT, true);
         holder.bind(new InetSocketAddress(InetAddress.getLoopbackAddress(), 0));
@@ -99,12 +104,13 @@
 
     /** Starts the process and waits for its first answer to a PING. */
     void start() throws IOException, InterruptedException {
-        ProcessBuilder builder = new ProcessBuilder(ProcessCommands.java("opalcove.Main", "serve"))
+        ProcessBuilder builder = new ProcessBuilder(
+                        ProcessCommands.javaOf(means.gatewayClassPath(), "opalcove.Main", "serve"))
                 .redirectErrorStream(true)
                 .redirectOutput(ProcessBuilder.Redirect.appendTo(log().toFile()));
         builder.environment().keySet().removeIf(key -> key.startsWith("GW_"));
         builder.environment().put("GW_CONFIG", config().toString());
-        shim.ifPresent(each -> each.loadInto(builder, library.orElseThrow()));
+        shim.ifPresent(each -> each.loadInto(builder, means.shimLibrary().orElseThrow()));
         double startedAt = clock.now();
         killed = false;
         Process started = builder.start();
--- a/laboratory/src/main/java/opalcove/laboratory/soak/ProcessCommands.java
+++ b/laboratory/src/main/java/opalcove/laboratory/soak/ProcessCommands.java
@@ -14,6 +14,11 @@
 
     /** Java with the class path of this process. */
     static List<String> java(String mainClass, String... arguments) {
+        return javaOf(System.getProperty("java.class.path"), mainClass, arguments);
+    }
+
+    /** Java with that class path. */
+    static List<String> javaOf(String classPath, String mainClass, String... arguments) {
         List<String> command = new ArrayList<>(List.of(
                 Path.of(System.getProperty("java.home"), "bin", "java").toString(),
                 "-XX:+UseSerialGC",
@@ -26,7 +31,7 @@
                 "-XX:+ExitOnOutOfMemoryError",
                 "-Dvertx.disableDnsResolver=true",
                 "-cp",
-                System.getProperty("java.class.path"),
+                classPath,
                 mainClass));
         command.addAll(List.of(arguments));
         return command;
--- a/laboratory/src/main/java/opalcove/laboratory/soak/Soak.java
+++ b/laboratory/src/main/java/opalcove/laboratory/soak/Soak.java
@@ -7,7 +7,6 @@
 import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
-import java.util.Optional;
 import java.util.Set;
 import java.util.TreeMap;
 import java.util.concurrent.TimeUnit;
@@ -21,23 +20,47 @@
     private static final int TRIES = 2;
 
     private final Path folder;
-    private final Optional<Path> shimLibrary;
+    private final GatewayProcess.Means means;
 
     /** A soak that keeps its files in the folder, which is made. */
     public Soak(Path folder) throws IOException, InterruptedException {
+        this(folder, System.getProperty("java.class.path"));
+    }
+
+    /** A soak of the gateway program of that class path. */
+    public Soak(Path folder, String gatewayClassPath) throws IOException, InterruptedException {
         this.folder = Files.createDirectories(folder);
-        shimLibrary = FaultShim.build(folder);
+        means = new GatewayProcess.Means(FaultShim.build(folder), gatewayClassPath);
     }
 
     /** Whether system calls can be failed: a C compiler was found. */
     public boolean hasShim() {
-        return shimLibrary.isPresent();
+        return means.shimLibrary().isPresent();
+    }
+
+    /** What is done to a run's processes besides its troubles, such as one fault for all of its time. */
+    interface Setting {
+        /** How far the gateways' wall clocks are ahead from their start on, ms. */
+        default long clockAheadMs() {
+            return 0;
+        }
+
+        /** The traffic begins. */
+        default void begin(SoakRig rig) throws Exception {}
+
+        /** The run is over; its history is whole. */
+        default void end(SoakRig rig) {}
     }
 
     /** Plays a plan. The files of the run stay in the folder where a rule was broken or that is asked for. */
     public SoakResult run(SoakPlan plan, boolean keepLogs) throws Exception {
+        return run(plan, keepLogs, new Setting() {});
+    }
+
+    /** Plays a plan with something more done to its processes. */
+    SoakResult run(SoakPlan plan, boolean keepLogs, Setting setting) throws Exception {
         Path own = Files.createTempDirectory(folder, "seed-" + plan.seed() + "-");
-        SoakResult result = play(plan, own);
+        SoakResult result = play(plan, own, setting);
         if (keepLogs || !result.violations().isEmpty()) {
             Files.writeString(own.resolve("result.txt"), plan.text() + result.text() + all(result));
         } else {
@@ -52,19 +75,21 @@
         return text.toString();
     }
 
-    private SoakResult play(SoakPlan plan, Path own) throws Exception {
-        try (SoakRig rig = new SoakRig(plan, own, shimLibrary);
+    private SoakResult play(SoakPlan plan, Path own, Setting setting) throws Exception {
+        try (SoakRig rig = new SoakRig(plan, own, means, setting.clockAheadMs());
                 Troublemaker troublemaker = new Troublemaker(rig)) {
             rig.startTraffic();
             double from = rig.clock.now();
             troublemaker.begin(plan.troubles());
-            TimeUnit.MILLISECONDS.sleep(plan.lengthMs());
+            setting.begin(rig);
+            TimeUnit.MILLISECONDS.sleep((long) Math.max(0, from + plan.lengthMs() - rig.clock.now()));
             List<Trouble> made = troublemaker.await();
             rig.stopTraffic();
             TimeUnit.MILLISECONDS.sleep(REST_MS);
             double capacity = capacityPerS(rig, from);
             double endAt = rig.clock.now();
             rig.end();
+            setting.end(rig);
             List<SoakViolation> violations = new Oracle(plan, rig.history, rig.places, capacity, endAt).judge();
             return new SoakResult(
                     plan, violations, made, ends(rig.history), rig.history.attempts.size(), rig.history.mostLag());
--- a/laboratory/src/main/java/opalcove/laboratory/soak/SoakRig.java
+++ b/laboratory/src/main/java/opalcove/laboratory/soak/SoakRig.java
@@ -9,7 +9,6 @@
 import java.util.ArrayList;
 import java.util.Collections;
 import java.util.List;
-import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
 
@@ -34,7 +33,8 @@
     private final List<Traffic> traffics = new ArrayList<>();
     private final int[] followed;
 
-    SoakRig(SoakPlan plan, Path folder, Optional<Path> shimLibrary) throws Exception {
+    /** Starts all processes; the gateways' wall clocks are so far ahead from their start on. */
+    SoakRig(SoakPlan plan, Path folder, GatewayProcess.Means means, long clockAheadMs) throws Exception {
         this.plan = plan;
         followed = new int[plan.gateways()];
         for (int i = 0; i < plan.backends(); i++) {
@@ -43,8 +43,9 @@
         fleet = new Fleet(places);
         startBackends(folder);
         for (int i = 0; i < plan.gateways(); i++) {
-            connect(i, folder, shimLibrary);
+            connect(i, folder, means);
         }
+        gateways.forEach(each -> each.shim().ifPresent(shim -> shim.shiftClock(clockAheadMs)));
         startGateways();
         loop.scheduleAtFixedRate(new LagWatch(), LAG_LOOK_MS, LAG_LOOK_MS, TimeUnit.MILLISECONDS);
         Thread sampling = new Thread(this::sample, "descriptors");
@@ -59,7 +60,7 @@
         forAll(backends, BackendProcess::start);
     }
 
-    private void connect(int gateway, Path folder, Optional<Path> shimLibrary) throws IOException {
+    private void connect(int gateway, Path folder, GatewayProcess.Means means) throws IOException {
         List<BackendLink> own = new ArrayList<>();
         List<String> addresses = new ArrayList<>();
         for (int i = 0; i < backends.size(); i++) {
@@ -77,7 +78,7 @@
             two.add(agent);
         }
         agents.add(two);
-        GatewayProcess process = new GatewayProcess(gateway, plan, folder, clock, shimLibrary, processViolations);
+        GatewayProcess process = new GatewayProcess(gateway, plan, folder, clock, means, processViolations);
         process.shim()
                 .ifPresent(shim ->
                         shim.discoveryPorts(two.get(0).port(), two.get(1).port()));
--- /dev/null
+++ b/laboratory/src/test/java/opalcove/laboratory/soak/OracleTest.java
@@ -0,0 +1,248 @@
+package opalcove.laboratory.soak;
+
+import static org.testng.Assert.assertEquals;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Set;
+import java.util.TreeSet;
+import opalcove.laboratory.soak.History.Attempt;
+import opalcove.laboratory.soak.History.Change;
+import opalcove.laboratory.soak.History.End;
+import opalcove.laboratory.soak.History.Request;
+import opalcove.laboratory.soak.History.Stall;
+import org.testng.annotations.Test;
+
+/** Each rule by a history that keeps it and one that just breaks it. */
+public class OracleTest {
+    private static final double CAPACITY_PER_S = 10;
+    private static final double END_MS = 20_000;
+    private static final List<SoakBackendPlace> PLACES = List.of(
+            new SoakBackendPlace("room-a", 0), new SoakBackendPlace("room-a", 1), new SoakBackendPlace("room-b", 2));
+
+    private final SoakPlan plan =
+            new SoakPlan(1, 1, 3, 12_000, 10, new SoakPlan.Setup(true, 1000, 2, false, true, "zone", 3000), List.of());
+    private int requests;
+
+    private Set<SoakRule> judged(History history) {
+        Set<SoakRule> rules = new TreeSet<>();
+        new Oracle(plan, history, PLACES, CAPACITY_PER_S, END_MS)
+                .judge()
+                .forEach(violation -> rules.add(violation.rule()));
+        return rules;
+    }
+
+    private Request request(History history, SoakClass requestClass, double sentAt) {
+        String id = String.format("%016x", ++requests);
+        Request request = new Request(id, requestClass, "customer", Traffic.WIDE_PLAN, 0, 1, 1000);
+        request.sentAt = sentAt;
+        history.requests.put(id, request);
+        return request;
+    }
+
+    private static Attempt attempt(History history, Request request, int backend, double at, int waitMs) {
+        Attempt attempt = new Attempt(request, 0, backend, at, at, waitMs);
+        request.attempts.add(attempt);
+        history.attempts.add(attempt);
+        return attempt;
+    }
+
+    private static Request served(Request request, double at) {
+        request.answer = request.id + " backend-0 ";
+        request.ended(End.SERVED, at);
+        return request;
+    }
+
+    /** One request, sent at 1000 with a second to wait, with one attempt that is over at 1050. */
+    private Request ordinary(History history, SoakClass requestClass) {
+        Request request = request(history, requestClass, 1000);
+        attempt(history, request, 0, 1010, 990).overAt = 1050;
+        return request;
+    }
+
+    @Test
+    public void anOrdinaryRequestKeepsAllRules() {
+        History history = new History();
+        served(ordinary(history, SoakClass.PAYMENT), 1051);
+        assertEquals(judged(history), Set.of());
+    }
+
+    @Test
+    public void anAnswerThatComesHalfASecondAfterItsTimeOrNever() {
+        History late = new History();
+        served(ordinary(late, SoakClass.LOOKUP), 2490);
+        assertEquals(judged(late), Set.of());
+        History later = new History();
+        served(ordinary(later, SoakClass.LOOKUP), 2530);
+        assertEquals(judged(later), Set.of(SoakRule.ANSWERED));
+        History never = new History();
+        ordinary(never, SoakClass.LOOKUP);
+        assertEquals(judged(never), Set.of(SoakRule.ANSWERED));
+    }
+
+    @Test
+    public void timeSpentWaitingForTheAnswerBeforeDoesNotCount() {
+        History history = new History();
+        Request request = served(ordinary(history, SoakClass.LOOKUP), 5000);
+        request.turnAt = 4900;
+        assertEquals(judged(history), Set.of());
+    }
+
+    @Test
+    public void aConnectionClosedWithARequestThatWasRead() {
+        History crossing = new History();
+        request(crossing, SoakClass.LOOKUP, 1000).ended(End.CLOSED, 1010);
+        assertEquals(judged(crossing), Set.of());
+        History read = new History();
+        request(read, SoakClass.LOOKUP, 1000).ended(End.CLOSED, 1200);
+        assertEquals(judged(read), Set.of(SoakRule.NOT_CLOSED_UNANSWERED));
+        History sent = new History();
+        ordinary(sent, SoakClass.LOOKUP).ended(End.CLOSED, 1011);
+        assertEquals(judged(sent), Set.of(SoakRule.NOT_CLOSED_UNANSWERED));
+    }
+
+    @Test
+    public void aValueOfAnotherRequest() {
+        History history = new History();
+        Request request = ordinary(history, SoakClass.LOOKUP);
+        request.answer = "ffffffffffffffff backend-0 ";
+        request.ended(End.SERVED, 1051);
+        assertEquals(judged(history), Set.of(SoakRule.OWN_VALUE));
+    }
+
+    @Test
+    public void anAttemptForAClientThatLeftOrHadItsAnswer() {
+        History left = new History();
+        ordinary(left, SoakClass.LOOKUP).ended(End.LEFT, 800);
+        assertEquals(judged(left), Set.of(SoakRule.NOT_FOR_CLIENTS_THAT_LEFT));
+        History answered = new History();
+        Request request = served(ordinary(answered, SoakClass.LOOKUP), 1051);
+        attempt(answered, request, 1, 1400, 600).overAt = 1401;
+        assertEquals(judged(answered), Set.of(SoakRule.NOT_AFTER_THE_ANSWER));
+    }
+
+    @Test
+    public void aDeadlineThatIsTooLong() {
+        History history = new History();
+        Request request = request(history, SoakClass.LOOKUP, 1000);
+        attempt(history, request, 0, 1300, 990).overAt = 1310;
+        served(request, 1311);
+        assertEquals(judged(history), Set.of(SoakRule.DEADLINE_PASSED_ON));
+    }
+
+    @Test
+    public void aSendAfterTheGraceOfADrain() {
+        History history = new History();
+        Change drain = new Change(0, false, 0, 1);
+        history.changes.add(drain);
+        served(ordinary(history, SoakClass.LOOKUP), 1051);
+        assertEquals(judged(history), Set.of(), "not told");
+        drain.toldAt[0] = 0;
+        assertEquals(judged(history), Set.of(), "within the grace");
+        drain.toldAt[0] = -200;
+        assertEquals(judged(history), Set.of(), "never told before 0");
+        History late = new History();
+        Change early = new Change(0, false, 0, 1);
+        early.toldAt[0] = 0;
+        late.changes.add(early);
+        Request request = request(late, SoakClass.LOOKUP, 1100);
+        attempt(late, request, 0, 1110, 900).overAt = 1120;
+        served(request, 1121);
+        assertEquals(judged(late), Set.of(SoakRule.DRAIN));
+    }
+
+    @Test
+    public void repeatsByClass() {
+        assertEquals(repeated(SoakClass.LOOKUP, 2, false), Set.of());
+        assertEquals(repeated(SoakClass.PAYMENT, 1, false), Set.of(SoakRule.REPEAT));
+        assertEquals(repeated(SoakClass.PAYMENT, 1, true), Set.of(), "turned away: it never ran");
+        assertEquals(repeated(SoakClass.ORDER, 1, false), Set.of(), "in the zone of the first");
+        assertEquals(repeated(SoakClass.ORDER, 2, false), Set.of(SoakRule.REPEAT));
+    }
+
+    private Set<SoakRule> repeated(SoakClass requestClass, int backend, boolean turnedAway) {
+        History history = new History();
+        Request request = ordinary(history, requestClass);
+        request.attempts.get(0).turnedAway = turnedAway;
+        attempt(history, request, backend, 1100, 890).overAt = 1200;
+        served(request, 1201);
+        return judged(history);
+    }
+
+    @Test
+    public void aSecondCopyAndTooManyAttempts() {
+        History copies = new History();
+        Request request = ordinary(copies, SoakClass.LOOKUP);
+        request.attempts.get(0).overAt = 1500;
+        attempt(copies, request, 1, 1100, 890).overAt = 1500;
+        served(request, 1501);
+        assertEquals(judged(copies), Set.of(SoakRule.SECOND_COPY));
+        History many = new History();
+        Request often = ordinary(many, SoakClass.LOOKUP);
+        for (int i = 0; i < 3; i++) {
+            attempt(many, often, 1, 1100 + 20 * i, 880).overAt = 1105 + 20 * i;
+        }
+        served(often, 1200);
+        assertEquals(judged(many), Set.of(SoakRule.ATTEMPTS));
+    }
+
+    @Test
+    public void aRefusalAfterItMayHaveRun() {
+        History history = new History();
+        ordinary(history, SoakClass.PAYMENT).ended(End.REFUSED, 1051);
+        assertEquals(judged(history), Set.of(SoakRule.REFUSAL));
+        History safe = new History();
+        ordinary(safe, SoakClass.LOOKUP).ended(End.REFUSED, 1051);
+        assertEquals(judged(safe), Set.of());
+    }
+
+    @Test
+    public void moreThanAColdBackendBears() {
+        assertEquals(sentToCold(10), Set.of());
+        assertEquals(sentToCold(60), Set.of(SoakRule.SLOW_START));
+    }
+
+    private Set<SoakRule> sentToCold(int count) {
+        History history = new History();
+        Change start = new Change(0, true, 1000, 1);
+        start.toldAt[0] = 1000;
+        history.changes.add(start);
+        history.starts.put(0, new ArrayList<>(List.of(1000.0)));
+        for (int i = 0; i < count; i++) {
+            Request request = request(history, SoakClass.LOOKUP, 1100 + i);
+            attempt(history, request, 0, 1100 + i, 900).overAt = 1105 + i;
+            served(request, 1106 + i);
+        }
+        return judged(history);
+    }
+
+    @Test
+    public void moreThanACustomersCeiling() {
+        History history = new History();
+        for (int i = 0; i < 30; i++) {
+            Request request = new Request(
+                    String.format("%016x", i), SoakClass.LOOKUP, "customer", Traffic.CEILING_PLAN, 0, 1, 1000);
+            request.sentAt = 1000 + i;
+            history.requests.put(request.id, request);
+            attempt(history, request, 0, 1001 + i, 900).overAt = 1002 + i;
+            served(request, 1003 + i);
+        }
+        assertEquals(judged(history), Set.of(SoakRule.CEILING));
+    }
+
+    @Test
+    public void aClientThatStopsAndIsKept() {
+        History kept = new History();
+        Stall stall = new Stall(0, 1000, null);
+        stall.endedAt = 4500;
+        kept.stalls.add(stall);
+        assertEquals(judged(kept), Set.of(SoakRule.STALLED_CLIENT));
+        History owed = new History();
+        Request before = request(owed, SoakClass.LOOKUP, 4000);
+        Stall behind = new Stall(0, 1000, before);
+        served(before, 4480);
+        behind.endedAt = 4490;
+        owed.stalls.add(behind);
+        assertEquals(judged(owed), Set.of(), "closed with the answer before it");
+    }
+}
--- /dev/null
+++ b/laboratory/src/test/java/opalcove/laboratory/soak/SoakTest.java
@@ -0,0 +1,84 @@
+package opalcove.laboratory.soak;
+
+import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertNotEquals;
+import static org.testng.Assert.assertTrue;
+
+import java.nio.file.Files;
+import java.util.EnumSet;
+import java.util.List;
+import java.util.Set;
+import org.testng.annotations.DataProvider;
+import org.testng.annotations.Test;
+
+/**
+ * A short soak of real processes with fixed seeds. A machine that builds may be starved, so that only the rules that know no
+ * time are judged here; the others are printed. Long soaks, in which all are, are run by hand: {@code opalcove soak --help}.
+ */
+public class SoakTest {
+    private static final Set<SoakRule> UNTIMED = EnumSet.of(
+            SoakRule.OWN_VALUE,
+            SoakRule.ATTEMPTS,
+            SoakRule.REFUSAL,
+            SoakRule.CEILING,
+            SoakRule.NO_CRASH,
+            SoakRule.DESCRIPTORS);
+
+    private static final SoakPlan.Size SHORT = new SoakPlan.Size(2, 4, 6000);
+    private static final List<TroubleKind> OF_CLIENTS_AND_BACKENDS = List.of(
+            TroubleKind.BACKEND_LONG,
+            TroubleKind.BACKEND_SPOILT,
+            TroubleKind.BACKEND_KILL,
+            TroubleKind.CLIENT_PIPELINES,
+            TroubleKind.CLIENT_ERRORS,
+            TroubleKind.CLIENT_LEAVES,
+            TroubleKind.CLIENT_STALLS,
+            TroubleKind.LINK_RESET);
+    private static final List<TroubleKind> OF_THE_SYSTEM = List.of(
+            TroubleKind.ACCEPT_FAILS,
+            TroubleKind.SOCKET_FAILS,
+            TroubleKind.CONNECT_FAILS,
+            TroubleKind.READ_FAILS,
+            TroubleKind.SHORT_CALLS,
+            TroubleKind.WAIT_INTERRUPTED,
+            TroubleKind.CLOCK_STEP,
+            TroubleKind.GATEWAY_TERM);
+
+    @DataProvider
+    public Object[][] plans() {
+        return new Object[][] {{1, OF_CLIENTS_AND_BACKENDS}, {2, OF_CLIENTS_AND_BACKENDS}, {3, OF_THE_SYSTEM}};
+    }
+
+    @Test(dataProvider = "plans")
+    public void noRuleIsBrokenThatKnowsNoTime(long seed, List<TroubleKind> kinds) throws Exception {
+        Soak soak = new Soak(Files.createTempDirectory("soak-test"));
+        assertTrue(soak.hasShim(), "a C compiler (cc) is needed to fail system calls: install gcc and libc6-dev");
+        SoakResult result = soak.run(SoakPlan.of(seed, SHORT, kinds), false);
+        System.out.print(result.plan().text() + result.text());
+        assertNotEquals(result.ends().getOrDefault("SERVED", 0), 0, "nothing was served");
+        List<SoakViolation> judged = result.violations().stream()
+                .filter(violation -> UNTIMED.contains(violation.rule()))
+                .toList();
+        assertEquals(judged, List.of());
+    }
+
+    @Test
+    public void aSeedGivesTheSamePlan() {
+        SoakPlan.Size size = new SoakPlan.Size(0, 0, 0);
+        assertEquals(SoakPlan.of(5, size), SoakPlan.of(5, size));
+        assertNotEquals(SoakPlan.of(5, size).troubles(), SoakPlan.of(6, size).troubles());
+    }
+
+    @Test
+    public void troublesOfAGroupOverlapAndCanBeLeftOut() {
+        SoakPlan plan = SoakPlan.of(7, new SoakPlan.Size(0, 0, 0));
+        for (Trouble each : plan.troubles()) {
+            assertTrue(
+                    plan.troubles().stream().anyMatch(other -> other.number() != each.number() && other.overlaps(each)),
+                    each.toString());
+            assertEquals(
+                    plan.without(Set.of(each.number())).troubles().size(),
+                    plan.troubles().size() - 1);
+        }
+    }
+}
--- a/versions/src/main/java/opalcove/versions/VersionedState.java
+++ b/versions/src/main/java/opalcove/versions/VersionedState.java
@@ -23,6 +23,7 @@
 import opalcove.cluster.AgreedState;
 import opalcove.decision.Admission;
 import opalcove.gateway.BadSettings;
+import opalcove.gateway.Clock;
 import opalcove.gateway.Endpoint;
 import opalcove.gateway.Fields;
 import opalcove.membership.Member;
@@ -60,7 +61,10 @@
     private Consumer<Acting> act;
     private Supplier<List<Member>> fleet;
     private VersionDesk desk;
-    private final long startedMs = System.currentTimeMillis();
+    /** Goes with the monotonic clock: a step of the wall clock neither delays the way back nor skips it. */
+    private final Clock clock = new Clock();
+
+    private final long startedMs = (long) clock.now();
     private final Snapshot snapshot;
     /** The way back after a start; null where nothing is kept. */
     private final Recovery recovery;
@@ -173,7 +177,7 @@
                 .forEach(each -> there.put(each.name(), each.incarnation()));
         Recovery.Plan before = plan;
         plan = recovery.plan(
-                System.currentTimeMillis(),
+                (long) clock.now(),
                 desk.lease().heard() ? desk.lease().standing().version() : -1,
                 there);
         if (before != null && before.phase() == plan.phase()) {
