--- a/gateway/src/main/java/opalcove/loop/Errno.java
+++ b/gateway/src/main/java/opalcove/gateway/Errno.java
@@ -1,4 +1,4 @@
-package opalcove.loop;
+package opalcove.gateway;
 
 import java.net.ConnectException;
 import java.net.NoRouteToHostException;
--- a/gateway/src/main/java/opalcove/gateway/LinkPool.java
+++ b/gateway/src/main/java/opalcove/gateway/LinkPool.java
@@ -12,7 +12,6 @@
 import java.util.function.Consumer;
 import opalcove.decision.Admission;
 import opalcove.loop.DescriptorCount;
-import opalcove.loop.Errno;
 import org.tinylog.Logger;
 
 /**
--- a/gateway/src/main/java/opalcove/gateway/Program.java
+++ b/gateway/src/main/java/opalcove/gateway/Program.java
@@ -1,6 +1,6 @@
 package opalcove.gateway;
 
-import io.netty.channel.Channel;
+import io.netty.util.AttributeMap;
 import io.vertx.core.Future;
 import io.vertx.core.Vertx;
 import io.vertx.core.VertxOptions;
@@ -88,7 +88,7 @@
      * Since when an accepted connection may have waited to be accepted, on the scale of {@link System#nanoTime}; now, where
      * that is not known.
      */
-    public static long waitingSince(Vertx vertx, Channel connection) {
+    public static long waitingSince(Vertx vertx, AttributeMap connection) {
         return PatientTransport.waitingSince(vertx, connection);
     }
 
--- a/gateway/src/main/java/opalcove/gateway/SystemCallFailures.java
+++ b/gateway/src/main/java/opalcove/gateway/SystemCallFailures.java
@@ -3,7 +3,6 @@
 import java.util.Locale;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicLongArray;
-import opalcove.loop.Errno;
 import org.tinylog.Logger;
 
 /** Counts failed calls of the system by call and reason. Logged once a second at the most. Counts may be read by any thread. */
--- a/gateway/src/main/java/opalcove/loop/PatientTransport.java
+++ b/gateway/src/main/java/opalcove/loop/PatientTransport.java
@@ -9,6 +9,7 @@
 import io.netty.channel.IoHandlerFactory;
 import io.netty.channel.nio.AbstractNioChannel;
 import io.netty.channel.socket.nio.NioChannelOption;
+import io.netty.util.AttributeMap;
 import io.netty.util.concurrent.ThreadAwareExecutor;
 import io.vertx.core.Context;
 import io.vertx.core.Vertx;
@@ -90,7 +91,7 @@
      * Since when an accepted connection may have waited to be accepted, on the scale of {@link System#nanoTime}; now, where
      * that is not known.
      */
-    public static long waitingSince(Vertx vertx, Channel connection) {
+    public static long waitingSince(Vertx vertx, AttributeMap connection) {
         Long since = connection.attr(AcceptLimit.WAITING_SINCE).get();
         SocketPolls polls = polls(vertx);
         return since == null ? System.nanoTime() : polls == null ? since : polls.cameSince(since);
--- a/gateway/src/main/java/opalcove/platform/RespFront.java
+++ b/gateway/src/main/java/opalcove/platform/RespFront.java
@@ -22,6 +22,7 @@
 import opalcove.gateway.Answer;
 import opalcove.gateway.Ask;
 import opalcove.gateway.Endpoint;
+import opalcove.gateway.Errno;
 import opalcove.gateway.Gateway;
 import opalcove.gateway.LongValue;
 import opalcove.gateway.Marks;
@@ -30,7 +31,6 @@
 import opalcove.gateway.Program;
 import opalcove.gateway.Rule;
 import opalcove.gateway.SystemCall;
-import opalcove.loop.Errno;
 import org.tinylog.Logger;
 
 /** The RESP2 front: terminals' connections, their commands in, the answers out in the order of the commands. */
