Hold the soak's ports for its runs

Seen once more as a run that ended with 'Socket is closed' (an option set on a connection that had closed).

Change: HeldPort keeps the ports of agents, proxies, backends and gateways bound and not listening; options are set on open connections alone.

--- a/laboratory/src/main/java/opalcove/laboratory/soak/BackendLink.java
+++ b/laboratory/src/main/java/opalcove/laboratory/soak/BackendLink.java
@@ -13,7 +13,7 @@
 import io.netty.channel.EventLoopGroup;
 import io.netty.channel.socket.nio.NioServerSocketChannel;
 import io.netty.channel.socket.nio.NioSocketChannel;
-import java.net.InetSocketAddress;
+import java.io.IOException;
 import java.nio.charset.StandardCharsets;
 import java.util.HashSet;
 import java.util.List;
@@ -43,13 +43,14 @@
     private final SplittableRandom random;
     private final Set<Connection> connections = new HashSet<>();
     private Channel server;
-    private int port;
+    private final HeldPort port = new HeldPort();
     private int backendPort;
     private boolean cut;
     private double resetShare;
     private boolean pieces;
 
-    BackendLink(int gateway, int backend, EventLoopGroup loop, SoakClock clock, History history, long seed) {
+    BackendLink(int gateway, int backend, EventLoopGroup loop, SoakClock clock, History history, long seed)
+            throws IOException {
         this.gateway = gateway;
         this.backend = backend;
         this.loop = loop;
@@ -59,7 +60,7 @@
     }
 
     String address() {
-        return "127.0.0.1:" + port;
+        return "127.0.0.1:" + port.number();
     }
 
     /** Opens the address, the same at each call; connections go on to the backend's own port. */
@@ -75,7 +76,7 @@
                 .group(loop)
                 .channel(NioServerSocketChannel.class)
                 .option(ChannelOption.SO_BACKLOG, cut ? BACKLOG : 256)
-                .option(ChannelOption.SO_REUSEADDR, true)
+                .option(HeldPort.SHARED, true)
                 .option(ChannelOption.AUTO_READ, !cut)
                 .childOption(ChannelOption.TCP_NODELAY, true)
                 .childHandler(new ChannelInitializer<>() {
@@ -84,13 +85,8 @@
                         channel.pipeline().addLast(new Connection(channel));
                     }
                 })
-                .bind("127.0.0.1", port);
+                .bind("127.0.0.1", port.number());
         server = opening.channel();
-        if (port == 0) {
-            // The first time, which is before the traffic and not on the loop.
-            opening.syncUninterruptibly();
-            port = ((InetSocketAddress) server.localAddress()).getPort();
-        }
     }
 
     /** The backend's process has died: connections are reset, and new ones refused. */
@@ -99,6 +95,11 @@
         Set.copyOf(connections).forEach(Connection::reset);
     }
 
+    /** Gives the port back. */
+    void release() throws IOException {
+        port.close();
+    }
+
     private void closeServer() {
         if (server != null) {
             server.close();
@@ -221,7 +222,7 @@
         }
 
         private void reset() {
-            if (!closed) {
+            if (!closed && fromGateway.isOpen()) {
                 fromGateway.config().setOption(ChannelOption.SO_LINGER, 0);
                 fromGateway.close();
             }
--- a/laboratory/src/main/java/opalcove/laboratory/soak/BackendProcess.java
+++ b/laboratory/src/main/java/opalcove/laboratory/soak/BackendProcess.java
@@ -13,16 +13,17 @@
     private final Path log;
     private Process process;
     private PrintStream behaviours;
-    private int port;
+    private final HeldPort port = new HeldPort();
 
-    BackendProcess(String name, Path log) {
+    BackendProcess(String name, Path log) throws IOException {
         this.name = name;
         this.log = log;
     }
 
-    /** Starts the process, the second time at the port of the first; gives the port once it listens. */
+    /** Starts the process, always at the same port; gives that once it listens. */
     int start() throws IOException {
-        process = new ProcessBuilder(ProcessCommands.java(SoakBackend.class.getName(), name, Integer.toString(port)))
+        process = new ProcessBuilder(
+                        ProcessCommands.java(SoakBackend.class.getName(), name, Integer.toString(port.number())))
                 .redirectError(ProcessBuilder.Redirect.appendTo(log.toFile()))
                 .start();
         behaviours = new PrintStream(process.getOutputStream(), true, StandardCharsets.US_ASCII);
@@ -32,12 +33,11 @@
         if (line == null) {
             throw new IOException(name + " did not start, see " + log);
         }
-        port = Integer.parseInt(line);
-        return port;
+        return port();
     }
 
     int port() {
-        return port;
+        return port.number();
     }
 
     void behave(SoakBackend.Behaviour behaviour, double value) {
@@ -48,6 +48,12 @@
         ProcessCommands.signal(process, signalName);
     }
 
+    /** Kills the process and gives its port back. */
+    void close() throws IOException {
+        kill();
+        port.close();
+    }
+
     void kill() {
         if (process != null) {
             process.destroyForcibly();
--- a/laboratory/src/main/java/opalcove/laboratory/soak/DiscoveryAgent.java
+++ b/laboratory/src/main/java/opalcove/laboratory/soak/DiscoveryAgent.java
@@ -20,7 +20,7 @@
 import io.netty.handler.codec.http.HttpServerCodec;
 import io.netty.handler.codec.http.HttpVersion;
 import io.netty.handler.codec.http.QueryStringDecoder;
-import java.net.InetSocketAddress;
+import java.io.IOException;
 import java.nio.charset.StandardCharsets;
 import java.util.HashSet;
 import java.util.List;
@@ -50,7 +50,7 @@
     private final Set<Watch> watches = new HashSet<>();
     private final Set<Channel> connections = new HashSet<>();
     private Channel server;
-    private int port;
+    private final HeldPort port = new HeldPort();
     private boolean silent;
     private boolean torn;
     private boolean wholeLists;
@@ -68,7 +68,8 @@
             boolean pushed,
             EventLoopGroup loop,
             SoakClock clock,
-            History history) {
+            History history)
+            throws IOException {
         this.gateway = gateway;
         this.fleet = fleet;
         this.addresses = addresses;
@@ -80,7 +81,7 @@
     }
 
     int port() {
-        return port;
+        return port.number();
     }
 
     void open() {
@@ -88,7 +89,7 @@
                 .group(loop)
                 .channel(NioServerSocketChannel.class)
                 .option(ChannelOption.SO_BACKLOG, 64)
-                .option(ChannelOption.SO_REUSEADDR, true)
+                .option(HeldPort.SHARED, true)
                 .childOption(ChannelOption.TCP_NODELAY, true)
                 .childHandler(new ChannelInitializer<>() {
                     @Override
@@ -99,13 +100,13 @@
                                 .addLast(new HttpServerCodec(), new HttpObjectAggregator(MOST_REQUEST), new Calls());
                     }
                 })
-                .bind("127.0.0.1", port);
+                .bind("127.0.0.1", port.number());
         server = opening.channel();
-        if (port == 0) {
-            // The first time, which is before the traffic and not on the loop.
-            opening.syncUninterruptibly();
-            port = ((InetSocketAddress) server.localAddress()).getPort();
-        }
+    }
+
+    /** Gives the port back. */
+    void release() throws IOException {
+        port.close();
     }
 
     /** The gateway follows this agent from its start on, or from a SIGHUP on. */
@@ -150,8 +151,10 @@
 
     void resetConnections() {
         for (Channel each : List.copyOf(connections)) {
-            each.config().setOption(ChannelOption.SO_LINGER, 0);
-            each.close();
+            if (each.isOpen()) {
+                each.config().setOption(ChannelOption.SO_LINGER, 0);
+                each.close();
+            }
         }
     }
 
--- a/laboratory/src/main/java/opalcove/laboratory/soak/GatewayProcess.java
+++ b/laboratory/src/main/java/opalcove/laboratory/soak/GatewayProcess.java
@@ -5,9 +5,7 @@
 import java.io.File;
 import java.io.IOException;
 import java.net.InetAddress;
-import java.net.InetSocketAddress;
 import java.net.Socket;
-import java.net.StandardSocketOptions;
 import java.nio.charset.StandardCharsets;
 import java.nio.file.Files;
 import java.nio.file.Path;
@@ -47,7 +45,9 @@
     private final Path folder;
     private final SoakClock clock;
     private final List<SoakViolation> violations;
-    private final Socket holder = new Socket();
+    /** This gateway's through its restarts. */
+    private final HeldPort port = new HeldPort();
+
     private final Optional<FaultShim> shim;
     private final Means means;
     private volatile Process process;
@@ -67,13 +67,10 @@
         shim = means.shimLibrary().isPresent()
                 ? Optional.of(new FaultShim(folder.resolve("shim-" + number)))
                 : Optional.empty();
-        // Keeps the port for this gateway through its restarts: it does not listen, so nobody is connected meanwhile.
-        holder.setOption(StandardSocketOptions.SO_REUSEPORT, true);
-        holder.bind(new InetSocketAddress(InetAddress.getLoopbackAddress(), 0));
     }
 
     int port() {
-        return holder.getLocalPort();
+        return port.number();
     }
 
     Optional<FaultShim> shim() {
@@ -250,6 +247,6 @@
             now.destroyForcibly();
             now.onExit().join();
         }
-        holder.close();
+        port.close();
     }
 }
--- a/laboratory/src/main/java/opalcove/laboratory/soak/SoakBackend.java
+++ b/laboratory/src/main/java/opalcove/laboratory/soak/SoakBackend.java
@@ -77,7 +77,7 @@
                 .group(loop)
                 .channel(NioServerSocketChannel.class)
                 .option(ChannelOption.SO_BACKLOG, 1024)
-                .option(ChannelOption.SO_REUSEADDR, true)
+                .option(HeldPort.SHARED, true)
                 .childOption(ChannelOption.TCP_NODELAY, true)
                 .childHandler(new ChannelInitializer<>() {
                     @Override
--- a/laboratory/src/main/java/opalcove/laboratory/soak/SoakRig.java
+++ b/laboratory/src/main/java/opalcove/laboratory/soak/SoakRig.java
@@ -228,7 +228,19 @@
         for (GatewayProcess each : gateways) {
             each.close();
         }
-        backends.forEach(BackendProcess::kill);
+        for (BackendProcess each : backends) {
+            each.close();
+        }
         loop.shutdownGracefully(0, 1, TimeUnit.SECONDS).syncUninterruptibly();
+        for (List<BackendLink> own : links) {
+            for (BackendLink each : own) {
+                each.release();
+            }
+        }
+        for (List<DiscoveryAgent> two : agents) {
+            for (DiscoveryAgent each : two) {
+                each.release();
+            }
+        }
     }
 }
