--- a/versions/src/main/java/opalcove/versions/SnapshotFile.java
+++ b/versions/src/main/java/opalcove/versions/SnapshotFile.java
@@ -5,7 +5,6 @@
 import com.eclipsesource.json.JsonObject;
 import java.io.IOException;
 import java.nio.charset.StandardCharsets;
-import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.List;
 import opalcove.gateway.BadSettings;
@@ -40,12 +39,12 @@
 
     /** Reads a snapshot; one that is not there, torn, of another form or no snapshot at all is refused with the reason. */
     public static Snapshot read(Path file) throws IOException {
-        if (!Files.exists(file)) {
+        if (!StateFile.existsOrBefore(file)) {
             throw new BadSettings(file + ": there is none");
         }
         Fields f;
         try {
-            f = Fields.parse(new String(StateFile.read(file), StandardCharsets.UTF_8));
+            f = Fields.parse(new String(StateFile.readOrBefore(file), StandardCharsets.UTF_8));
             if (f.whole("snapshot") != FORM) {
                 throw new BadSettings("its form is " + f.whole("snapshot") + ", not " + FORM);
             }
--- a/versions/src/main/java/opalcove/versions/StateFile.java
+++ b/versions/src/main/java/opalcove/versions/StateFile.java
@@ -2,18 +2,20 @@
 
 import java.io.IOException;
 import java.nio.ByteBuffer;
-import java.nio.channels.FileChannel;
 import java.nio.file.Files;
 import java.nio.file.Path;
-import java.nio.file.StandardCopyOption;
-import java.nio.file.StandardOpenOption;
 import java.util.Arrays;
 import java.util.zip.CRC32C;
 import opalcove.gateway.BadSettings;
+import org.tinylog.Logger;
 
 /**
- * Bytes kept in a file, whole or not at all: written beside it, forced to the disk and moved into its place. A head tells the
- * form's version, the length and a CRC32C of what follows.
+ * Bytes kept in a file, whole or not at all: written beside it, synced and moved into its place. A head tells the form's
+ * version, the length and a CRC32C of what follows. The content before is kept under another name, for who may use an
+ * older one.
+ *
+ * <p>A write that has failed in any step has not been done: its caller must not count on it. What was written by then is
+ * deleted and not synced once more, for after a failed sync the system may take what it could not write for written.
  */
 final class StateFile {
     private static final byte[] MARK = {'o', 'p', 'l', 'v'};
@@ -23,6 +25,10 @@
     private StateFile() {}
 
     static void write(Path file, byte[] content) throws IOException {
+        write(Disk.REAL, file, content);
+    }
+
+    static void write(Disk disk, Path file, byte[] content) throws IOException {
         ByteBuffer bytes = ByteBuffer.allocate(HEAD + content.length)
                 .put(MARK)
                 .putInt(FORM)
@@ -30,22 +36,83 @@
                 .putInt(sum(content))
                 .put(content)
                 .flip();
-        Path part = file.resolveSibling(file.getFileName() + ".part");
-        try (FileChannel channel = FileChannel.open(
-                part, StandardOpenOption.CREATE, StandardOpenOption.WRITE, StandardOpenOption.TRUNCATE_EXISTING)) {
-            while (bytes.hasRemaining()) {
-                channel.write(bytes);
-            }
-            channel.force(true);
+        Path part = beside(file, ".part");
+        disk.delete(part);
+        try {
+            disk.write(part, bytes);
+            disk.sync(part);
+        } catch (IOException e) {
+            deleteAfter(e, disk, part);
+            throw e;
+        }
+        keepBefore(disk, file);
+        disk.rename(part, file);
+        disk.sync(file.toAbsolutePath().getParent());
+    }
+
+    /** Keeps the content before under its own name, where it is whole. */
+    private static void keepBefore(Disk disk, Path file) throws IOException {
+        if (Files.exists(file) && isWhole(file)) {
+            Path before = beside(file, ".before");
+            disk.delete(before);
+            disk.link(before, file);
         }
-        Files.move(part, file, StandardCopyOption.ATOMIC_MOVE);
-        try (FileChannel folder = FileChannel.open(file.toAbsolutePath().getParent())) {
-            folder.force(true);
+    }
+
+    private static void deleteAfter(IOException failure, Disk disk, Path part) {
+        try {
+            disk.delete(part);
+        } catch (IOException e) {
+            failure.addSuppressed(e);
+        }
+    }
+
+    private static boolean isWhole(Path file) throws IOException {
+        try {
+            readOne(file);
+            return true;
+        } catch (BadSettings torn) {
+            return false;
         }
     }
 
+    private static Path beside(Path file, String ending) {
+        return file.resolveSibling(file.getFileName() + ending);
+    }
+
+    /** Whether there is a content, be it the one before. */
+    static boolean existsOrBefore(Path file) {
+        return Files.exists(file) || Files.exists(beside(file, ".before"));
+    }
+
     /** The content; a file that is torn, empty, foreign or of another form is refused with the reason. */
     static byte[] read(Path file) throws IOException {
+        return readOne(file);
+    }
+
+    /**
+     * The content, or the one before where the file cannot be read or is not there; that is said. Refused with the reason where
+     * neither can be read. Not for what must not be older than was promised, such as a vote.
+     */
+    static byte[] readOrBefore(Path file) throws IOException {
+        Path before = beside(file, ".before");
+        if (!Files.exists(file) && Files.exists(before)) {
+            Logger.warn("{} is not there: the content before is used", file);
+            return readOne(before);
+        }
+        try {
+            return readOne(file);
+        } catch (BadSettings refused) {
+            if (!Files.exists(before)) {
+                throw refused;
+            }
+            byte[] content = readOne(before);
+            Logger.warn("{}: the content before is used", refused.getMessage());
+            return content;
+        }
+    }
+
+    private static byte[] readOne(Path file) throws IOException {
         ByteBuffer bytes = ByteBuffer.wrap(Files.readAllBytes(file));
         byte[] mark = new byte[MARK.length];
         bytes.get(mark, 0, Math.min(mark.length, bytes.remaining()));
--- a/versions/src/main/java/opalcove/versions/Voter.java
+++ b/versions/src/main/java/opalcove/versions/Voter.java
@@ -65,6 +65,9 @@
                 .setTransport(new Transport() {
                     @Override
                     public void send(RaftEndpoint target, RaftMessage message) {
+                        if (setup.store() != null && !setup.store().isWritten()) {
+                            return;
+                        }
                         send.accept(target.getId().toString(), Objects.write(message));
                     }
 
--- a/versions/src/main/java/opalcove/versions/VoterStore.java
+++ b/versions/src/main/java/opalcove/versions/VoterStore.java
@@ -16,6 +16,7 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.TreeMap;
+import org.tinylog.Logger;
 
 /**
  * What a voter must not forget: its vote, and the log since the last snapshot. It is small, a few versions, and so is written
@@ -32,17 +33,42 @@
         private SnapshotChunk snapshot;
     }
 
+    private final Disk disk;
     private final Path file;
     private final State state;
+    /** The last flush has failed: what this voter holds is not in its file. */
+    private boolean failed;
 
-    private VoterStore(Path file, State state) {
+    private VoterStore(Disk disk, Path file, State state) {
+        this.disk = disk;
         this.file = file;
         this.state = state;
     }
 
     /** The store in that file, new where there is none; one that is torn or foreign is refused with the reason. */
     static VoterStore open(Path file) throws IOException {
-        return new VoterStore(file, Files.exists(file) ? Objects.read(StateFile.read(file), State.class) : new State());
+        return open(Disk.REAL, file);
+    }
+
+    static VoterStore open(Disk disk, Path file) throws IOException {
+        State state = Files.exists(file) ? Objects.read(StateFile.read(file), State.class) : new State();
+        return new VoterStore(disk, file, state);
+    }
+
+    /**
+     * Whether all that this voter holds is in its file, having tried once more where the last flush has failed. Guards the
+     * votes: a voter that cannot write says nothing that others may count on.
+     */
+    boolean isWritten() {
+        if (failed) {
+            try {
+                flush();
+                Logger.info("agreement: the voter's state is written again");
+            } catch (IOException e) {
+                Logger.debug("agreement: the voter's state is still not written: {}", e.getMessage());
+            }
+        }
+        return !failed;
     }
 
     /** What was kept, null where nothing was. */
@@ -114,6 +140,17 @@
 
     @Override
     public void flush() throws IOException {
-        StateFile.write(file, Objects.write(state));
+        boolean before = failed;
+        failed = true;
+        try {
+            StateFile.write(disk, file, Objects.write(state));
+            failed = false;
+        } catch (IOException e) {
+            if (!before) {
+                Logger.error(
+                        "agreement: the voter's state is not written, it says nothing till it is: {}", e.getMessage());
+            }
+            throw e;
+        }
     }
 }
