--- a/gateway/src/main/java/opalcove/gateway/Counters.java
+++ b/gateway/src/main/java/opalcove/gateway/Counters.java
@@ -16,8 +16,6 @@
     long overdue;
     long cancelled;
     long lapsed;
-    long unreadInTime;
-    long clientsStalled;
     long probes;
     long listCallsFailed;
     long listsRefused;
@@ -25,11 +23,21 @@
     long connectionsClosedForDescriptors;
     long connectionsRefusedForDescriptors;
     private final long[] ends = new long[Admission.Result.values().length];
+    private final long[] refusals = new long[Refusal.values().length];
+    private final long[] closed = new long[ConnectionEnd.values().length];
 
     void ended(Admission.Result result) {
         ends[result.ordinal()]++;
     }
 
+    void refused(Refusal why) {
+        refusals[why.ordinal()]++;
+    }
+
+    void closed(ConnectionEnd why) {
+        closed[why.ordinal()]++;
+    }
+
     /** One name and figure a line. */
     String lines() {
         StringBuilder text = new StringBuilder();
@@ -41,12 +49,16 @@
         }
         line(text, "given_up", cancelled);
         line(text, "lapsed_while_dialled", lapsed);
-        line(text, "unread_in_time", unreadInTime);
-        line(text, "clients_stalled", clientsStalled);
         line(text, "probes", probes);
         line(text, "served", served);
         line(text, "refused", refused);
+        for (Refusal each : Refusal.values()) {
+            line(text, "refused." + each.figure(), refusals[each.ordinal()]);
+        }
         line(text, "failed", failed);
+        for (ConnectionEnd each : ConnectionEnd.values()) {
+            line(text, "connections_ended." + each.figure(), closed[each.ordinal()]);
+        }
         line(text, "terminals_left", left);
         line(text, "list_calls_failed", listCallsFailed);
         line(text, "lists_refused", listsRefused);
--- a/gateway/src/main/java/opalcove/gateway/Gateway.java
+++ b/gateway/src/main/java/opalcove/gateway/Gateway.java
@@ -216,18 +216,20 @@
         }
         if (lives.size() >= current.settings.limits().maxOpen()) {
             // Guards memory and descriptors against more open asks than this machine can hold.
+            counters.refused(Refusal.TOO_MANY_OPEN);
             return answerAtOnce(asker, requestClass.name(), new Answer.Refused((long)
                     current.settings.limits().maxRetryAfterMs()));
         }
         double left = endsAt - clock.now();
         if (left < LEAST_WAIT_MS) {
             // Guards an ask that comes late in the end against being taken and never answered.
+            counters.refused(Refusal.ENDING);
             return answerAtOnce(asker, requestClass.name(), new Answer.Refused(0));
         }
         double waitMs = unreadMs > UNREAD_IGNORED_MS ? ask.waitMs() - unreadMs : ask.waitMs();
         if (waitMs <= 0) {
             // Its time was over before it was read: nothing may be sent for it any more.
-            counters.unreadInTime++;
+            counters.refused(Refusal.UNREAD_IN_TIME);
             return answerAtOnce(asker, requestClass.name(), new Answer.Refused(0));
         }
         Life life = take(ask.waiting(Math.min(waitMs, left)), requestClass, asker);
@@ -705,9 +707,9 @@
         }
     }
 
-    /** A client's connection is ended for half a command that stands still behind asks that are open. */
-    public void clientStalled() {
-        counters.clientsStalled++;
+    /** A front has ended a client's connection. */
+    public void connectionEnded(ConnectionEnd why) {
+        counters.closed(why);
     }
 
     /** The system has failed a call, as it may for a moment. */
@@ -821,6 +823,7 @@
                 fail(id);
                 return;
             }
+            counters.refused(Refusal.DECIDED);
             decide(id, new Life.Step.Final(new Answer.Refused((long) Math.ceil(Math.max(0, retryAfterMs)))));
         }
 
--- a/gateway/src/main/java/opalcove/gateway/LinkPool.java
+++ b/gateway/src/main/java/opalcove/gateway/LinkPool.java
@@ -172,6 +172,7 @@
             attempt.sendOn(rested);
         } else if (descriptors.held() >= most) {
             // Guards the descriptors that terminals need.
+            makeRoom();
             connectLater(node, attempt, waitMs);
         } else {
             makeRoom();
--- a/gateway/src/main/java/opalcove/platform/RespFront.java
+++ b/gateway/src/main/java/opalcove/platform/RespFront.java
@@ -21,6 +21,7 @@
 import java.util.concurrent.TimeUnit;
 import opalcove.gateway.Answer;
 import opalcove.gateway.Ask;
+import opalcove.gateway.ConnectionEnd;
 import opalcove.gateway.Endpoint;
 import opalcove.gateway.Errno;
 import opalcove.gateway.Gateway;
@@ -149,7 +150,7 @@
         long before = System.nanoTime() - TimeUnit.MILLISECONDS.toNanos(goesAway() ? AWAY_REST_MS : REST_MS);
         for (Terminal each : List.copyOf(terminals)) {
             if (!each.endIfStalled() && each.slots.isEmpty() && each.lastUsed - before < 0) {
-                each.partIfQuiet();
+                each.partIfQuiet(goesAway() ? ConnectionEnd.DRAINED : ConnectionEnd.IDLE);
             }
         }
         for (Terminal each : List.copyOf(farewells)) {
@@ -177,7 +178,7 @@
             if (longest == null) {
                 return false;
             }
-            if (longest.partIfQuiet()) {
+            if (longest.partIfQuiet(ConnectionEnd.FOR_ROOM)) {
                 gateway.connectionEndedForDescriptors(false);
                 return true;
             }
@@ -491,6 +492,9 @@
         private int errors;
         private boolean penalised;
         private boolean closing;
+        /** Why it is ended once it owes nothing, where it is closing. */
+        private ConnectionEnd endsFor = ConnectionEnd.PROTOCOL;
+
         private long partedAt;
 
         Terminal(NetSocket socket) {
@@ -666,7 +670,7 @@
                 gateway.checks()
                         .broken(Rule.CLOSED_UNANSWERED, "-", slots.size() + " requests behind a value that was cut");
             }
-            part();
+            part(ConnectionEnd.CUT);
             dropSlots();
         }
 
@@ -717,10 +721,10 @@
             if (closing || !reader.within() || System.nanoTime() - lastRead < TimeUnit.MILLISECONDS.toNanos(REST_MS)) {
                 return false;
             }
-            gateway.clientStalled();
             if (slots.isEmpty()) {
-                part();
+                part(ConnectionEnd.STALLED);
             } else {
+                endsFor = ConnectionEnd.STALLED;
                 broken("half a command");
             }
             return true;
@@ -740,10 +744,10 @@
 
         void closeIfIdle() {
             if (slots.isEmpty() && closing) {
-                part();
+                part(endsFor);
             } else if (slots.isEmpty() && goesAway()) {
                 // Not within the reading of this very connection, in which it cannot be read once more.
-                vertx.runOnContext(read -> partIfQuiet());
+                vertx.runOnContext(read -> partIfQuiet(ConnectionEnd.DRAINED));
             }
         }
 
@@ -753,7 +757,7 @@
          * timer can be due before the loop has read what came in the meantime, and to its terminal such an ask is taken.
          * Reads that are paused (after an error, or for want of room) do not spare it: what lies behind them is taken too.
          */
-        boolean partIfQuiet() {
+        boolean partIfQuiet(ConnectionEnd why) {
             if (!closing) {
                 input.readAll();
             }
@@ -762,7 +766,7 @@
             boolean onItsWay = reader.within() && System.nanoTime() - lastRead < TimeUnit.MILLISECONDS.toNanos(REST_MS);
             boolean quiet = slots.isEmpty() && !closing && !onItsWay;
             if (quiet) {
-                part();
+                part(why);
             }
             return quiet;
         }
@@ -772,7 +776,8 @@
          * sent on when that while is over: its answer would have nowhere to go, and the terminal, which saw the
          * connection end first, may have asked again elsewhere.
          */
-        private void part() {
+        private void part(ConnectionEnd why) {
+            gateway.connectionEnded(why);
             end();
             if (farewells.size() >= mostFarewells) {
                 endFarewell();
