Let late turns in a row, and a full backlog, not add up to the time unread

AcceptLimit kept the begin of a pause for as long as the backlog was not empty, which a storm of connections never lets it be.

Change: only a late turn that read nothing carries its begin over, to the next. A connection has waited no longer than the 520 accepted before it took.

Measured: SocketPollsTest, UnreadTimeTest, DescriptorLimitTest, FullFrontTest and LeavingFrontTest pass.

--- a/gateway/src/main/java/opalcove/loop/AcceptLimit.java
+++ b/gateway/src/main/java/opalcove/loop/AcceptLimit.java
@@ -23,6 +23,8 @@
 
     private static final long FIRST_WAIT_MS = 1;
     private static final long LONGEST_WAIT_MS = 32;
+    /** No more connections wait at a time than a front's backlog holds, and a few. */
+    private static final int MOST_WAITING = 520;
 
     private final Channel server;
     private final int pauseAt;
@@ -38,6 +40,10 @@
     private boolean mayWait;
 
     private long waitingSince;
+    /** When the last connections were accepted, as many as a backlog may hold, in a ring. */
+    private final long[] acceptedAt = new long[MOST_WAITING];
+
+    private long accepted;
     private int acceptedInLook;
     /** What the two were before the look at the listening socket that has just ended. */
     private boolean mayWaitBefore;
@@ -65,7 +71,8 @@
         Channel connection = (Channel) message;
         acceptedInLook++;
         waitMs = FIRST_WAIT_MS;
-        connection.attr(WAITING_SINCE).set(mayWait ? waitingSince : unreadSince.getAsLong());
+        connection.attr(WAITING_SINCE).set(mayWait ? waitingSinceAtMost() : unreadSince.getAsLong());
+        acceptedAt[(int) (accepted++ % MOST_WAITING)] = System.nanoTime();
         connections.opened();
         connection.closeFuture().addListener(closed -> connections.closed(connection.eventLoop()));
         if (!hasRoom()) {
@@ -93,6 +100,18 @@
         context.fireChannelReadComplete();
     }
 
+    /**
+     * Since when a connection that is accepted now may have waited: those before it in the backlog, no more than that holds, were
+     * accepted after it had come. Guards new clients in a storm that never lets the backlog run empty.
+     */
+    private long waitingSinceAtMost() {
+        if (accepted < MOST_WAITING) {
+            return waitingSince;
+        }
+        long oldest = acceptedAt[(int) (accepted % MOST_WAITING)];
+        return oldest - waitingSince > 0 ? oldest : waitingSince;
+    }
+
     private void waitFrom(long since) {
         if (!mayWait) {
             mayWait = true;
--- a/gateway/src/main/java/opalcove/loop/PatientTransport.java
+++ b/gateway/src/main/java/opalcove/loop/PatientTransport.java
@@ -214,7 +214,7 @@
         public int run(IoHandlerContext context) {
             polls.asks();
             int handled = super.run(context);
-            polls.read();
+            polls.read(handled);
             return handled;
         }
 
--- a/gateway/src/main/java/opalcove/loop/SocketPolls.java
+++ b/gateway/src/main/java/opalcove/loop/SocketPolls.java
@@ -29,7 +29,10 @@
     private long stoodStillSince = polledAt;
 
     private long stoodStillUntil = polledAt;
-    private boolean wasLate;
+    /** Nothing was read after a standstill: what is read next may have come since then. */
+    private boolean carries;
+
+    private long carriedSince;
     private long askedAt = polledAt;
     private long wakesAt = polledAt;
 
@@ -49,19 +52,25 @@
         long now = System.nanoTime();
         boolean late = now - wakesAt >= LATE_NS || askedAt - polledAt >= LATE_NS;
         if (late) {
-            stoodStillSince = wasLate ? stoodStillSince : polledAt;
+            stoodStillSince = polledAt;
             stoodStillUntil = now;
         }
         boolean slept = now - askedAt > SLEPT_NS;
-        // The end of a standstill interrupts the sleep, which then ends with no socket ready: the next turn reads them.
-        unreadSince = late || wasLate ? stoodStillSince : slept ? now : polledAt;
-        wasLate = late;
+        unreadSince = slept && !late ? now : polledAt;
+        if (carries) {
+            unreadSince = carriedSince;
+        }
         polledAt = now;
     }
 
-    /** All of them have been read. */
-    void read() {
+    /**
+     * All of them have been read, so many. The end of a standstill interrupts the sleep, which then ends with no socket ready,
+     * though some are: the next turn reads them, and they may be as old.
+     */
+    void read(int handled) {
         readUpTo = polledAt;
+        carries = handled == 0 && polledAt == stoodStillUntil;
+        carriedSince = unreadSince;
     }
 
     /** What had come by this time, to sockets that the loop reads, has been read. */
