--- a/gateway/src/main/java/opalcove/platform/ClientInputs.java
+++ b/gateway/src/main/java/opalcove/platform/ClientInputs.java
@@ -27,8 +27,8 @@
      * s after which an attempt for a client that left breaks a rule.
      */
     private static final long STALE_NS = TimeUnit.MILLISECONDS.toNanos(25);
-    /** What may have lain unread for longer than this counts as old, ns. */
-    private static final long OLD_NS = TimeUnit.MILLISECONDS.toNanos(20);
+    /** What may have lain unread for longer than this counts as old, ns: less is covered by the slack on deadlines. */
+    private static final long OLD_NS = TimeUnit.MILLISECONDS.toNanos(100);
     /**
      * Most bytes that looks may bring and that are kept till the connection is read again: of one, and of all
      * together.
