--- a/gateway/src/main/java/opalcove/platform/Rehearsal.java
+++ b/gateway/src/main/java/opalcove/platform/Rehearsal.java
@@ -174,6 +174,9 @@
             this.values = values;
             this.errors = errors;
             raw = new RawSocket(socket, false, this);
+            // Else Vert.x logs a connection that breaks at the end of the play as an error, without a word on which it
+            // was.
+            socket.exceptionHandler(e -> Logger.debug("a connection of the rehearsal broke: {}", e.getMessage()));
             socket.closeHandler(closed -> reader.stop());
         }
 
--- a/laboratory/src/main/java/opalcove/laboratory/soak/Troublemaker.java
+++ b/laboratory/src/main/java/opalcove/laboratory/soak/Troublemaker.java
@@ -169,13 +169,17 @@
             }
             case BACKEND_DRAIN -> {
                 rig.change(backend, "draining", false);
-                sleep(trouble.lengthMs());
-                rig.change(backend, "up", false);
+                if (comesBack(trouble)) {
+                    sleep(trouble.lengthMs());
+                    rig.change(backend, "up", false);
+                }
             }
             case BACKEND_REMOVE -> {
                 rig.change(backend, "removed", false);
-                sleep(trouble.lengthMs());
-                rig.change(backend, "up", true);
+                if (comesBack(trouble)) {
+                    sleep(trouble.lengthMs());
+                    rig.change(backend, "up", true);
+                }
             }
             case BACKEND_BUSY -> behave(trouble, Behaviour.BUSY, share);
             case BACKEND_ERROR -> behave(trouble, Behaviour.ERROR, share);
@@ -189,6 +193,11 @@
         return true;
     }
 
+    /** One that does not is drained or gone for the rest of the run, which what was missed of the list has to outlast. */
+    private static boolean comesBack(Trouble trouble) {
+        return trouble.draw() < 0.5;
+    }
+
     private void behave(Trouble trouble, Behaviour behaviour, double value) throws InterruptedException {
         rig.backend(trouble.target()).behave(behaviour, value);
         sleep(trouble.lengthMs());
