Let the same trouble overlap with itself in the soak; go on after a run that ends early

Change: an agent is closed once and opened once; a backend's restarts come one after another; a run that cannot be played to its end counts as failed and is told, and the others are played.

--- a/cli/src/main/java/opalcove/cli/SoakCommand.java
+++ b/cli/src/main/java/opalcove/cli/SoakCommand.java
@@ -6,6 +6,7 @@
 import java.util.List;
 import java.util.Set;
 import java.util.concurrent.Callable;
+import java.util.concurrent.ExecutionException;
 import java.util.concurrent.ExecutorService;
 import java.util.concurrent.Executors;
 import java.util.concurrent.Future;
@@ -131,7 +132,14 @@
         }
         int failed = 0;
         for (Future<SoakResult> each : results) {
-            SoakResult result = each.get();
+            SoakResult result;
+            try {
+                result = each.get();
+            } catch (ExecutionException e) {
+                failed++;
+                System.out.println("a run could not be played to its end: " + e.getCause());
+                continue;
+            }
             coverage.add(result.made());
             if (!result.violations().isEmpty()) {
                 failed++;
--- a/laboratory/src/main/java/opalcove/laboratory/soak/DiscoveryAgent.java
+++ b/laboratory/src/main/java/opalcove/laboratory/soak/DiscoveryAgent.java
@@ -130,11 +130,12 @@
 
     /** Refuses connections, and has reset those that were open. */
     void refuse(boolean yes) {
-        if (yes) {
+        // Two such troubles may overlap: the first to end opens it again.
+        if (yes && server != null) {
             server.close();
             server = null;
             resetConnections();
-        } else if (server == null) {
+        } else if (!yes && server == null) {
             open();
             tellWhatItHas();
         }
--- a/laboratory/src/main/java/opalcove/laboratory/soak/SoakRig.java
+++ b/laboratory/src/main/java/opalcove/laboratory/soak/SoakRig.java
@@ -172,12 +172,14 @@
 
     /** Kills a backend and starts it again after that time: it stays in the list, and the list tells its start. */
     void restartBackend(int backend, int awayMs) throws IOException, InterruptedException {
-        backends.get(backend).kill();
-        onLoop(() -> links.forEach(own -> own.get(backend).close()));
-        TimeUnit.MILLISECONDS.sleep(awayMs);
-        int port = backends.get(backend).start();
-        onLoop(() -> links.forEach(own -> own.get(backend).open(port)));
-        change(backend, fleet.entry(backend).status, true);
+        synchronized (backends.get(backend)) {
+            backends.get(backend).kill();
+            onLoop(() -> links.forEach(own -> own.get(backend).close()));
+            TimeUnit.MILLISECONDS.sleep(awayMs);
+            int port = backends.get(backend).start();
+            onLoop(() -> links.forEach(own -> own.get(backend).open(port)));
+            change(backend, fleet.entry(backend).status, true);
+        }
     }
 
     void startTraffic() {
