Try again to listen where the machine has no socket for a start at the moment

Change: Program.listening tries again each 50 ms, for 8 s, where this machine lacks something; any other refusal ends the start as before. The front makes its server anew for each try. SocketPolls.cameSince looks at how long its own turn has lasted.

Measured: ListeningTest 2 of 2 and the classes around it, 36 of 36.

--- a/gateway/src/main/java/opalcove/gateway/Program.java
+++ b/gateway/src/main/java/opalcove/gateway/Program.java
@@ -2,12 +2,14 @@
 
 import io.netty.util.AttributeMap;
 import io.vertx.core.Future;
+import io.vertx.core.Promise;
 import io.vertx.core.Vertx;
 import io.vertx.core.VertxOptions;
 import io.vertx.core.file.FileSystemOptions;
 import io.vertx.core.internal.VertxBootstrap;
 import java.io.IOException;
 import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
 import java.util.function.LongSupplier;
 import java.util.function.Supplier;
@@ -35,6 +37,10 @@
     private static final long END_GRACE_MS = 700;
     /** How much earlier the last answers are given, ms: the word to end may have come late, and answers take their way. */
     private static final long END_MARGIN_MS = 200;
+    /** How long a start tries to listen where the machine lacks something for it, and how often, ms. */
+    private static final long LISTENING_MS = 8000;
+
+    private static final long LISTEN_AGAIN_MS = 50;
     /** Time for the last answer to leave the process, ms. */
     private static final long LAST_WORDS_MS = 50;
 
@@ -130,12 +136,34 @@
             // It was told to end meanwhile. Guards clients against a front that opens then: what they send is lost.
             return;
         }
-        listen.get().onSuccess(port -> phases.enter(Phase.SERVING)).onFailure(e -> {
+        listening(vertx, listen).onSuccess(port -> phases.enter(Phase.SERVING)).onFailure(e -> {
             Logger.error("cannot listen: {}", e.getMessage());
             Runtime.getRuntime().halt(1);
         });
     }
 
+    /**
+     * Listens; where this machine lacks something for it now (descriptors, memory, the address), again and again for a while.
+     * Guards the start against ending for what the machine lacks for a moment.
+     */
+    public static <T> Future<T> listening(Vertx vertx, Supplier<Future<T>> listen) {
+        return listening(vertx, listen, System.nanoTime());
+    }
+
+    private static <T> Future<T> listening(Vertx vertx, Supplier<Future<T>> listen, long since) {
+        return listen.get().recover(failure -> {
+            boolean over = System.nanoTime() - since > TimeUnit.MILLISECONDS.toNanos(LISTENING_MS);
+            if (over || !Errno.of(failure).isOfThisMachine()) {
+                return Future.failedFuture(failure);
+            }
+            Logger.warn("cannot listen yet: {}", failure.getMessage());
+            Promise<T> later = Promise.promise();
+            vertx.setTimer(
+                    LISTEN_AGAIN_MS, due -> listening(vertx, listen, since).onComplete(later));
+            return later.future();
+        });
+    }
+
     /** What the phases at the end of the program do. */
     public void atEnd(Gateway gateway, Consumer<Runnable> drain) {
         phases.watch(phase -> {
--- a/gateway/src/main/java/opalcove/loop/SocketPolls.java
+++ b/gateway/src/main/java/opalcove/loop/SocketPolls.java
@@ -80,6 +80,10 @@
 
     /** What was taken by another loop at that time came no earlier than this: that loop may not have seen a standstill. */
     long cameSince(long taken) {
+        if (taken - polledAt >= LATE_NS) {
+            // This turn has lasted long, and may be the one that stood still.
+            return polledAt;
+        }
         boolean near = taken - stoodStillUntil < NEAR_NS;
         return near ? Math.min(taken, stoodStillSince) : taken;
     }
--- a/gateway/src/main/java/opalcove/platform/RespFront.java
+++ b/gateway/src/main/java/opalcove/platform/RespFront.java
@@ -78,11 +78,14 @@
     private final Gateway gateway;
     private final AskReader asks;
     private final Phases phases;
-    private final NetServer server;
+    /** Of the last try to listen. */
+    private NetServer server;
+
     private final Set<Terminal> terminals = new HashSet<>();
     /** Connections of which the end was told and which their terminals have not closed yet, the oldest first. */
     private final Set<Terminal> farewells = new LinkedHashSet<>();
 
+    private final int mostTerminals;
     private final int mostFarewells;
     private final GatheredBytes gathered = new GatheredBytes();
     private Runnable whenEmpty = () -> {};
@@ -104,21 +107,9 @@
         asks = new AskReader(gateway::rules);
         this.phases = phases;
         inputs = new ClientInputs(vertx);
+        this.mostTerminals = mostTerminals;
         mostFarewells = Math.max(1, mostTerminals / FAREWELL_PART);
         Program.limitAccepted(vertx, mostDescriptors(mostTerminals));
-        server = vertx.createNetServer(new NetServerOptions()
-                .setAcceptBacklog(512)
-                .setReuseAddress(true)
-                .setReusePort(true));
-        server.connectHandler(socket -> {
-            if (terminals.size() >= mostTerminals && !closeLongestIdle()) {
-                Logger.debug("a terminal's connection is closed: {} are open and busy", terminals.size());
-                gateway.connectionEndedForDescriptors(true);
-                socket.close();
-                return;
-            }
-            terminals.add(new Terminal(socket));
-        });
         Context context = vertx.getOrCreateContext();
         // Told on the acceptor's thread, whose own context is not this one.
         Program.whenAcceptRefused(vertx, refusal -> context.runOnContext(told -> acceptRefused(refusal)));
@@ -219,9 +210,27 @@
     }
 
     Future<NetServer> listen(SocketAddress at) {
+        server = newServer();
         return server.listen(at);
     }
 
+    private NetServer newServer() {
+        NetServer made = vertx.createNetServer(new NetServerOptions()
+                .setAcceptBacklog(512)
+                .setReuseAddress(true)
+                .setReusePort(true));
+        made.connectHandler(socket -> {
+            if (terminals.size() >= mostTerminals && !closeLongestIdle()) {
+                Logger.debug("a terminal's connection is closed: {} are open and busy", terminals.size());
+                gateway.connectionEndedForDescriptors(true);
+                socket.close();
+                return;
+            }
+            terminals.add(new Terminal(socket));
+        });
+        return made;
+    }
+
     /**
      * An operator's drain, or its end: while clients are sent away, PING says no, so that the front before this gateway
      * sends no new connections, and every connection is closed once it owes no answer. Answers owed are all given.
@@ -246,7 +255,7 @@
             closeResting();
             checkEmpty();
         });
-        if (!coming) {
+        if (!coming && server != null) {
             // Not close(), which would cut the connections that are still owed answers.
             server.shutdown(1, TimeUnit.HOURS);
         }
--- a/gateway/src/main/java/opalcove/platform/Serve.java
+++ b/gateway/src/main/java/opalcove/platform/Serve.java
@@ -65,11 +65,12 @@
         if (config.console() == null) {
             return;
         }
-        Console console = new Console(Program.eventLoop(), door);
-        console.listen(config.console()).onFailure(e -> {
-            Logger.error("cannot listen at the console address {}: {}", config.console(), e.getMessage());
-            Runtime.getRuntime().halt(1);
-        });
+        Vertx loop = Program.eventLoop();
+        Program.listening(loop, () -> new Console(loop, door).listen(config.console()))
+                .onFailure(e -> {
+                    Logger.error("cannot listen at the console address {}: {}", config.console(), e.getMessage());
+                    Runtime.getRuntime().halt(1);
+                });
     }
 
     /** Puts the gateway together on its event loop, and opens its front once the list of backends is known. */
--- /dev/null
+++ b/gateway/src/test/java/opalcove/gateway/ListeningTest.java
@@ -0,0 +1,70 @@
+package opalcove.gateway;
+
+import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertTrue;
+
+import io.vertx.core.Future;
+import io.vertx.core.Vertx;
+import java.io.IOException;
+import java.net.BindException;
+import java.net.SocketException;
+import java.util.ArrayDeque;
+import java.util.Deque;
+import java.util.List;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.ExecutionException;
+import java.util.concurrent.TimeUnit;
+import org.testng.annotations.AfterMethod;
+import org.testng.annotations.BeforeMethod;
+import org.testng.annotations.Test;
+
+/** A start that the machine has no socket for at the moment tries again; one that never can listen ends. */
+public class ListeningTest {
+    private static final int PATIENCE_S = 20;
+    private final Deque<Throwable> failures = new ArrayDeque<>();
+    private Vertx vertx;
+
+    @BeforeMethod
+    public void open() {
+        vertx = Vertx.vertx();
+        failures.clear();
+    }
+
+    @AfterMethod
+    public void close() {
+        vertx.close();
+    }
+
+    private CompletableFuture<Integer> listening() {
+        CompletableFuture<Integer> port = new CompletableFuture<>();
+        vertx.runOnContext(start -> Program.listening(vertx, this::listen)
+                .onSuccess(port::complete)
+                .onFailure(port::completeExceptionally));
+        return port;
+    }
+
+    private Future<Integer> listen() {
+        Throwable failure = failures.poll();
+        return failure == null ? Future.succeededFuture(1) : Future.failedFuture(failure);
+    }
+
+    @Test
+    public void whatTheMachineLacksForAMomentIsWaitedFor() throws Exception {
+        failures.addAll(List.of(
+                new IllegalStateException("Failed to open a socket.", new SocketException("Too many open files")),
+                new IOException("No buffer space available")));
+        assertEquals(listening().get(PATIENCE_S, TimeUnit.SECONDS), Integer.valueOf(1));
+        assertTrue(failures.isEmpty());
+    }
+
+    @Test
+    public void anAddressThatAnotherHasEndsTheStart() throws Exception {
+        failures.add(new BindException("Address already in use"));
+        try {
+            listening().get(PATIENCE_S, TimeUnit.SECONDS);
+            throw new AssertionError("it was tried again");
+        } catch (ExecutionException e) {
+            assertTrue(e.getCause() instanceof BindException);
+        }
+    }
+}
