Kill a soak's processes when the soak itself ends early; fail tests on broken rules

Cause: two soaks that ended by a fault of their own left 22 gateways running (started about 09:42 and 10:04).

Change: SoakRig kills its processes in a shutdown hook from before the first one is started. Stage.close fails a test whose gateway has counted a broken rule, but for late answers, which are the machine's where a test holds the loop up.

--- a/gateway/src/test/java/opalcove/platform/Stage.java
+++ b/gateway/src/test/java/opalcove/platform/Stage.java
@@ -16,6 +16,7 @@
 import java.net.Socket;
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
+import java.util.EnumSet;
 import java.util.List;
 import java.util.concurrent.BlockingQueue;
 import java.util.concurrent.CompletableFuture;
@@ -35,6 +36,7 @@
 import opalcove.gateway.LinkPool;
 import opalcove.gateway.Phases;
 import opalcove.gateway.Program;
+import opalcove.gateway.Rule;
 import opalcove.gateway.SettingsReader;
 
 /**
@@ -85,6 +87,10 @@
             each.close();
         }
         vertx.close();
+        // Late answers are the machine's where a test holds the event loop up.
+        for (Rule rule : EnumSet.complementOf(EnumSet.of(Rule.ANSWER_IN_TIME))) {
+            assertEquals(gateway.checks().broken(rule), 0, "the gateway has broken " + rule);
+        }
     }
 
     // Links that come up late.
--- a/laboratory/src/main/java/opalcove/laboratory/soak/GatewayProcess.java
+++ b/laboratory/src/main/java/opalcove/laboratory/soak/GatewayProcess.java
@@ -239,13 +239,20 @@
         }
     }
 
-    void close() throws IOException {
+    /** Kills the process where there is one. */
+    void destroy() {
         killed = true;
         Process now = process;
         ending = now;
         if (now != null) {
             now.destroyForcibly();
-            now.onExit().join();
+        }
+    }
+
+    void close() throws IOException {
+        destroy();
+        if (process != null) {
+            process.onExit().join();
         }
         port.close();
     }
--- a/laboratory/src/main/java/opalcove/laboratory/soak/SoakRig.java
+++ b/laboratory/src/main/java/opalcove/laboratory/soak/SoakRig.java
@@ -32,6 +32,8 @@
     private final List<List<DiscoveryAgent>> agents = new ArrayList<>();
     private final List<Traffic> traffics = new ArrayList<>();
     private final int[] followed;
+    /** Guards the machine against processes that outlive a soak which is ended, or ends early, itself. */
+    private final Thread killing = new Thread(this::killAll, "kill-processes");
 
     /** Starts all processes; the gateways' wall clocks are so far ahead from their start on. */
     SoakRig(SoakPlan plan, Path folder, GatewayProcess.Means means, long clockAheadMs) throws Exception {
@@ -41,6 +43,7 @@
             places.add(new SoakBackendPlace("room-" + (char) ('a' + i % 2), i / 3));
         }
         fleet = new Fleet(places);
+        Runtime.getRuntime().addShutdownHook(killing);
         startBackends(folder);
         for (int i = 0; i < plan.gateways(); i++) {
             connect(i, folder, means);
@@ -53,6 +56,11 @@
         sampling.start();
     }
 
+    private void killAll() {
+        gateways.forEach(GatewayProcess::destroy);
+        backends.forEach(BackendProcess::kill);
+    }
+
     private void startBackends(Path folder) throws Exception {
         for (int i = 0; i < plan.backends(); i++) {
             backends.add(new BackendProcess("backend-" + i, folder.resolve("backend-" + i + ".log")));
@@ -227,6 +235,11 @@
 
     @Override
     public void close() throws IOException {
+        try {
+            Runtime.getRuntime().removeShutdownHook(killing);
+        } catch (IllegalStateException endsAlready) {
+            // The hook does the same.
+        }
         for (GatewayProcess each : gateways) {
             each.close();
         }
