--- a/laboratory/src/main/java/opalcove/laboratory/AgreementModel.java
+++ b/laboratory/src/main/java/opalcove/laboratory/AgreementModel.java
@@ -12,6 +12,7 @@
 import opalcove.configlease.LeaseState;
 import opalcove.configlease.VersionLog;
 import opalcove.replication.ConfigReplica;
+import opalcove.replication.RaftVoterStore;
 import opalcove.replication.ReplicationMessage;
 
 /**
@@ -56,7 +57,14 @@
             this.skew = skew;
             replica = new ConfigReplica(
                     new ConfigReplica.Setup(
-                            name, name, voters, votes, null, leaseMs, new Random(random.nextLong()), text -> {
+                            name,
+                            name,
+                            voters,
+                            votes,
+                            votes ? RaftVoterStore.inMemory() : null,
+                            leaseMs,
+                            new Random(random.nextLong()),
+                            text -> {
                                 if (text.isEmpty()) {
                                     throw new InvalidConfigurationException("it is empty");
                                 }
--- a/replication/src/main/java/opalcove/replication/ConfigReplica.java
+++ b/replication/src/main/java/opalcove/replication/ConfigReplica.java
@@ -42,7 +42,7 @@
      * @param address the gateway's address
      * @param voters the voters' addresses by name
      * @param isVoter whether this gateway takes part in the votes
-     * @param store where the voter's state is stored; null in a simulation and for a gateway that is no voter
+     * @param store where the voter's state is stored; null for a gateway that is no voter
      * @param leaseMs how long a confirmed version may be acted on
      * @param random draws the first voter to request, and the voter's election timeouts
      * @param validator throws InvalidConfigurationException for a document that must not be accepted
@@ -125,6 +125,11 @@
         return voter != null && setup.name().equals(voter.leader());
     }
 
+    /** How often this gateway's voter had to be started again since the start; 0 if it is no voter. */
+    public long voterRestarts() {
+        return voter == null ? 0 : voter.restarts();
+    }
+
     /** Does what is due. */
     public void tick() {
         lease.tick(host.nowMs());
--- a/replication/src/main/java/opalcove/replication/RaftVoterStore.java
+++ b/replication/src/main/java/opalcove/replication/RaftVoterStore.java
@@ -34,7 +34,9 @@
     }
 
     private final FileOperations operations;
+    /** Null for a store in memory. */
     private final Path file;
+
     private final State state;
     /** Whether the last flush failed: the state of this voter is not in its file. */
     private boolean hasFailed;
@@ -54,6 +56,11 @@
         return open(FileOperations.REAL, file);
     }
 
+    /** A store that lasts as long as its process, for simulations. */
+    public static RaftVoterStore inMemory() {
+        return new RaftVoterStore(FileOperations.REAL, null, new State());
+    }
+
     static RaftVoterStore open(FileOperations operations, Path file) throws IOException {
         State state = Files.exists(file) ? SerializedForm.read(AtomicFile.read(file), State.class) : new State();
         return new RaftVoterStore(operations, file, state);
@@ -144,6 +151,9 @@
 
     @Override
     public void flush() throws IOException {
+        if (file == null) {
+            return;
+        }
         boolean hadFailed = hasFailed;
         hasFailed = true;
         try {
--- a/replication/src/main/java/opalcove/replication/ReplicationFigures.java
+++ b/replication/src/main/java/opalcove/replication/ReplicationFigures.java
@@ -22,6 +22,7 @@
         figures.add("agreement.behind", state.mode() == LeaseState.Mode.FULL ? 0 : 1, GAUGE);
         figures.add("agreement.voter", replica.isVoter() ? 1 : 0, GAUGE);
         figures.add("agreement.leader", replica.isLeader() ? 1 : 0, GAUGE);
+        figures.add("agreement.voter_restarts", replica.voterRestarts(), COUNTER);
         figures.add("agreement.state_refused", isStateRefused ? 1 : 0, COUNTER);
         figures.add("agreement.asked", counts.requested(), COUNTER);
         figures.add("agreement.confirmed", counts.confirmed(), COUNTER);
--- a/replication/src/test/java/opalcove/replication/AgreementOutputTest.java
+++ b/replication/src/test/java/opalcove/replication/AgreementOutputTest.java
@@ -86,6 +86,7 @@
                             "agreement.behind|g",
                             "agreement.voter|g",
                             "agreement.leader|g",
+                            "agreement.voter_restarts|c",
                             "agreement.state_refused|c",
                             "agreement.asked|c",
                             "agreement.confirmed|c",
--- a/replication/src/test/java/opalcove/replication/ReplicationMessageFormTest.java
+++ b/replication/src/test/java/opalcove/replication/ReplicationMessageFormTest.java
@@ -147,7 +147,16 @@
 
     private static ConfigReplica replica(Host host, Map<String, String> voters, boolean votes) {
         return new ConfigReplica(
-                new ConfigReplica.Setup("g1", "a:1", voters, votes, null, 2000, new Random(5), text -> {}), host);
+                new ConfigReplica.Setup(
+                        "g1",
+                        "a:1",
+                        voters,
+                        votes,
+                        votes ? RaftVoterStore.inMemory() : null,
+                        2000,
+                        new Random(5),
+                        text -> {}),
+                host);
     }
 
     private static ReplicationMessage message(String body) {
--- a/replication/src/test/java/opalcove/replication/VirtualVoters.java
+++ b/replication/src/test/java/opalcove/replication/VirtualVoters.java
@@ -7,6 +7,7 @@
 import java.time.ZoneOffset;
 import java.util.ArrayList;
 import java.util.Comparator;
+import java.util.HashMap;
 import java.util.HashSet;
 import java.util.LinkedHashMap;
 import java.util.List;
@@ -29,29 +30,47 @@
     private final PriorityQueue<Task> tasks =
             new PriorityQueue<>(Comparator.comparingLong(Task::atMs).thenComparingLong(Task::order));
     private final Map<String, RaftVoter> voters = new LinkedHashMap<>();
+    private final Map<String, Process> processes = new HashMap<>();
     private final Set<String> cutOff = new HashSet<>();
+    private final BiConsumer<String, byte[]> sent;
     private long nowMs = 1_000_000;
     private long order;
+    private int restarts;
 
     /** Starts a voter for each store; {@code sent} sees each message, be it carried or lost. */
     VirtualVoters(Map<String, RaftVoterStore> stores, BiConsumer<String, byte[]> sent) {
-        stores.forEach((name, store) -> voters.put(
-                name,
-                new RaftVoter(
-                        new RaftVoter.Setup(
-                                name, NAMES, store, new Executor(), new VirtualClock(), new Random(name.hashCode())),
-                        (to, message) -> {
-                            sent.accept(name, message);
-                            later(1, () -> {
-                                if (!cutOff.contains(name) && !cutOff.contains(to)) {
-                                    voters.get(to).handle(message);
-                                }
-                            });
-                        },
-                        version -> {})));
+        this.sent = sent;
+        stores.forEach((name, store) -> voters.put(name, create(name, store)));
         voters.values().forEach(RaftVoter::start);
     }
 
+    private RaftVoter create(String name, RaftVoterStore store) {
+        Process process = new Process();
+        processes.put(name, process);
+        return new RaftVoter(
+                new RaftVoter.Setup(
+                        name, NAMES, store, process, new VirtualClock(), new Random(name.hashCode() + restarts)),
+                (to, message) -> {
+                    sent.accept(name, message);
+                    later(1, () -> deliver(name, to, message));
+                },
+                version -> {});
+    }
+
+    private void deliver(String from, String to, byte[] message) {
+        if (!cutOff.contains(from) && !cutOff.contains(to)) {
+            voters.get(to).handle(message);
+        }
+    }
+
+    /** Kills a voter and starts it again on what its store holds. */
+    void restart(String name, RaftVoterStore store) {
+        restarts++;
+        processes.get(name).end();
+        voters.put(name, create(name, store));
+        voters.get(name).start();
+    }
+
     RaftVoter voter(String name) {
         return voters.get(name);
     }
@@ -117,20 +136,35 @@
         tasks.add(new Task(nowMs + ms, order++, run));
     }
 
-    private final class Executor implements RaftNodeExecutor {
+    /** Runs the tasks of one voter until its process ends. */
+    private final class Process implements RaftNodeExecutor {
+        private boolean hasEnded;
+
+        void end() {
+            hasEnded = true;
+        }
+
         @Override
         public void execute(Runnable task) {
-            later(0, task);
+            runLater(0, task);
         }
 
         @Override
         public void submit(Runnable task) {
-            later(0, task);
+            runLater(0, task);
         }
 
         @Override
         public void schedule(Runnable task, long delay, TimeUnit unit) {
-            later(Math.max(1, unit.toMillis(delay)), task);
+            runLater(Math.max(1, unit.toMillis(delay)), task);
+        }
+
+        private void runLater(long delayMs, Runnable task) {
+            later(delayMs, () -> {
+                if (!hasEnded) {
+                    task.run();
+                }
+            });
         }
     }
 
--- /dev/null
+++ b/replication/src/test/java/opalcove/replication/VoterElectionTest.java
@@ -0,0 +1,42 @@
+package opalcove.replication;
+
+import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertNotEquals;
+
+import java.io.IOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.LinkedHashMap;
+import java.util.Map;
+import opalcove.configlease.VersionLog;
+import org.testng.annotations.Test;
+
+/** Elections among voters in virtual time. */
+public class VoterElectionTest {
+    /** Longer than a restarted voter takes to hear from its leader. */
+    private static final long REJOIN_MS = 5_000;
+
+    /** Guards against a voter that is deaf to the loss of a leader that it found in the middle of a pre-vote. */
+    @Test
+    public void votersThatFoundTheLeaderDuringAPreVoteElectAnotherOnceItIsLost() throws IOException {
+        Path folder = Files.createTempDirectory("voters");
+        Map<String, RaftVoterStore> stores = new LinkedHashMap<>();
+        for (String name : VirtualVoters.NAMES) {
+            stores.put(name, RaftVoterStore.open(folder.resolve(name)));
+        }
+        VirtualVoters voters = new VirtualVoters(stores, (from, message) -> {});
+        String lost = voters.awaitLeader();
+        voters.propose(new VersionLog.Proposal("id-1", 0, "ops", "one"));
+        for (String name : VirtualVoters.NAMES) {
+            if (!name.equals(lost)) {
+                voters.restart(name, RaftVoterStore.open(folder.resolve(name)));
+                voters.run(REJOIN_MS);
+                assertEquals(voters.voter(name).leader(), lost, name);
+            }
+        }
+        voters.cutOff(lost);
+        assertNotEquals(voters.awaitLeader(), lost);
+        assertEquals(
+                voters.propose(new VersionLog.Proposal("id-2", 1, "ops", "two")), new VersionLog.Outcome(true, 2, ""));
+    }
+}
