End a lease that has run out before any input that comes after its end

What callers saw: a gateway that had stood still past its lease could go from one version to the next without the strict mode in between, in which it sends nothing to any backend until it is told more. In AgreementRigTest: "it was strict first" expected 1 found 0. Requests themselves were not served by the expired lease: each is preceded by ReplicatedConfigService.effectiveIfExpired, which compares the clock with the end of the lease.

Cause: only the tick ended a lease, and the tick was set anew, 1 ms later at least, by each datagram. After a pause the event loop reads the waiting datagrams first; one of them announced a version, the response came within the millisecond and renewed a lease that had never been ended.

Change: ConfigLease ends a lease that is due before it handles a response or an announcement, and ConfigReplica has it do so before any message. So whichever comes first, tick or input, the order of the states is the same, whatever the timer does.

ConfigLeaseTest starts each test with a lease of its own.

--- a/configlease/src/main/java/opalcove/configlease/ConfigLease.java
+++ b/configlease/src/main/java/opalcove/configlease/ConfigLease.java
@@ -93,10 +93,7 @@
      * lease.
      */
     public void tick(long nowMs) {
-        if (state.mode() == Mode.FULL && nowMs >= state.expiresAtMs()) {
-            expired++;
-            enter(new LeaseState(state.version(), Mode.STRICT, state.expiresAtMs()));
-        }
+        expireIfDue(nowMs);
         if (nowMs >= responseDueMs) {
             voterIndex = (voterIndex + 1) % voters.size();
             request(nowMs);
@@ -105,6 +102,17 @@
         }
     }
 
+    /**
+     * Ends a lease that has run out, as {@link #tick} does. Guards against a response that renews such a lease: its host
+     * may be late with the tick.
+     */
+    public void expireIfDue(long nowMs) {
+        if (state.mode() == Mode.FULL && nowMs >= state.expiresAtMs()) {
+            expired++;
+            enter(new LeaseState(state.version(), Mode.STRICT, state.expiresAtMs()));
+        }
+    }
+
     private void request(long nowMs) {
         nextRequestMs = nowMs + config.renewPeriodMs();
         responseDueMs = nowMs + config.responseTimeoutMs();
@@ -118,6 +126,7 @@
 
     /** Handles the announcement of a version: a newer one is requested at once, but adopted from the response alone. */
     public void onVersionAnnounced(long nowMs, long version) {
+        expireIfDue(nowMs);
         if (version > state.version()) {
             request(nowMs);
         }
@@ -129,6 +138,7 @@
      * their request is not known.
      */
     public void onResponse(long nowMs, long sequence, long version, String versionText) {
+        expireIfDue(nowMs);
         Long requestedAtMs = requestTimesMs.remove(sequence);
         if (requestedAtMs == null || version < state.version() || version > state.version() && versionText == null) {
             return;
--- a/configlease/src/test/java/opalcove/configlease/ConfigLeaseTest.java
+++ b/configlease/src/test/java/opalcove/configlease/ConfigLeaseTest.java
@@ -6,24 +6,31 @@
 
 import java.util.ArrayList;
 import java.util.List;
+import org.testng.annotations.BeforeMethod;
 import org.testng.annotations.Test;
 
 /** One gateway's lease against a clock of the test's own. */
 public class ConfigLeaseTest {
     private final List<String> requested = new ArrayList<>();
     private final List<String> changes = new ArrayList<>();
-    private final ConfigLease lease =
-            new ConfigLease(0, List.of("a", "b"), 0, LeaseConfig.of(2000), new ConfigLease.Host() {
-                @Override
-                public void requestVersion(String voter, long sequence, long heldVersion) {
-                    requested.add(voter + sequence + " v" + heldVersion);
-                }
+    private ConfigLease lease;
 
-                @Override
-                public void leaseChanged(LeaseState before, LeaseState after, String text) {
-                    changes.add(after.mode() + " " + after.version() + " " + text);
-                }
-            });
+    @BeforeMethod
+    public void startLease() {
+        requested.clear();
+        changes.clear();
+        lease = new ConfigLease(0, List.of("a", "b"), 0, LeaseConfig.of(2000), new ConfigLease.Host() {
+            @Override
+            public void requestVersion(String voter, long sequence, long heldVersion) {
+                requested.add(voter + sequence + " v" + heldVersion);
+            }
+
+            @Override
+            public void leaseChanged(LeaseState before, LeaseState after, String text) {
+                changes.add(after.mode() + " " + after.version() + " " + text);
+            }
+        });
+    }
 
     /** A lease runs from the question, not from its answer; without another answer it ends, and the next voter is requested. */
     @Test
@@ -52,6 +59,22 @@
         assertEquals(lease.state().expiresAtMs(), 4700);
     }
 
+    /** Guards against a late tick: neither a response nor an announcement leads past the strict mode. */
+    @Test
+    public void aLeaseThatHasRunOutIsStrictBeforeItIsRenewed() {
+        lease.tick(0);
+        lease.onResponse(10, 1, 7, "seven");
+        lease.tick(1900);
+        lease.onResponse(2000, 2, 7, null);
+        assertEquals(changes, List.of("FULL 7 seven", "STRICT 7 seven", "FULL 7 seven"));
+        assertEquals(lease.state(), new LeaseState(7, LeaseState.Mode.FULL, 3900));
+        lease.onVersionAnnounced(3900, 8);
+        assertEquals(changes.get(3), "STRICT 7 seven");
+        lease.onResponse(3950, 3, 8, "eight");
+        assertEquals(changes.get(4), "FULL 8 eight");
+        assertEquals(lease.counts().expired(), 2);
+    }
+
     @Test
     public void anAnswerThatComesAfterItsLeaseGivesNone() {
         ConfigLease late = new ConfigLease(0, List.of("a"), 0, LeaseConfig.of(200), new ConfigLease.Host() {
--- a/replication/src/main/java/opalcove/replication/ConfigReplica.java
+++ b/replication/src/main/java/opalcove/replication/ConfigReplica.java
@@ -136,11 +136,12 @@
     }
 
     /**
-     * Handles a message.
+     * Handles a message, after the end of a lease that is due: input without a pause must not put it off.
      *
      * @throws InvalidConfigurationException if it makes no sense; nothing has changed then
      */
     public void receive(ReplicationMessage message) {
+        lease.expireIfDue(host.nowMs());
         switch (message.kind()) {
             case RAFT -> {
                 if (voter != null) {
