Give a gateway its version back when a renewal crosses the end of the lease

What callers would see: a gateway whose thread finds the lease expired takes the configuration on expiry, which is strict and names no backend, so all its requests are shed. If the lease's own thread had received a renewal just before that end and not published it yet, the lease stays FULL, no change of mode is told, and the gateway stays without backends until the next version or expiry.

Cause: the two threads agree on the end through two volatile fields, and what the gateway had taken was told to nobody. Found by reading, while looking for the fault of AgreementRigTest elsewhere; it was not seen on processes.

Change: LeaseExpiry holds the end and whether the configuration on expiry has been taken. The next renewal, a quarter of a lease later at most, activates the effective configuration again. Both orders of the two events are in LeaseExpiryTest; with the former fields there was nothing that could have passed it.

--- a/replication/src/main/java/opalcove/replication/ReplicatedConfigService.java
+++ b/replication/src/main/java/opalcove/replication/ReplicatedConfigService.java
@@ -44,7 +44,6 @@
     private static final int SOCKET_BUFFER_BYTES = 1 << 20;
     private static final long SNAPSHOT_PERIOD_MS = 2000;
     private static final long RECOVERY_PERIOD_MS = 100;
-    private static final long NEVER = Long.MAX_VALUE;
 
     private final Vertx vertx;
     private final String name;
@@ -53,6 +52,7 @@
     private final DatagramSocket socket;
     private final Promise<Void> ready = Promise.promise();
     private final EffectiveConfigSelector selector;
+    private final LeaseExpiry expiry = new LeaseExpiry();
     /** Null if no snapshot file is configured. */
     private final RecoveryTracker recovery;
 
@@ -67,10 +67,6 @@
     /** How many backends are open now; -1 if discovery has the list. */
     private int openBackends = -1;
 
-    /** For other threads: what to act on once the lease has expired, and when that is; NEVER if it cannot expire. */
-    private volatile EffectiveConfig onExpiry;
-
-    private volatile long expiresAtMs = NEVER;
     private volatile String figures = "";
 
     ReplicatedConfigService(
@@ -178,7 +174,9 @@
             ready.tryComplete();
         }
         LeaseState lease = replica.lease().state();
-        expiresAtMs = lease.mode() == LeaseState.Mode.FULL ? lease.expiresAtMs() : NEVER;
+        if (expiry.renew(lease.mode() == LeaseState.Mode.FULL ? lease.expiresAtMs() : LeaseExpiry.NEVER)) {
+            activate();
+        }
         publish();
         if (timer >= 0) {
             vertx.cancelTimer(timer);
@@ -252,7 +250,7 @@
     private void activate() {
         EffectiveConfigSelector.Selection selection =
                 selector.select(replica.lease().state(), recovery, monotonicMs());
-        onExpiry = selection.onExpiry();
+        expiry.setOnExpiry(selection.onExpiry());
         EffectiveConfig effective = selection.effective();
         openBackends = effective.backends() == null ? -1 : effective.backends().size();
         onChange.accept(effective);
@@ -260,13 +258,15 @@
 
     @Override
     public EffectiveConfig effectiveIfExpired() {
-        return monotonicMs() >= expiresAtMs ? onExpiry : null;
+        return expiry.takeIfExpired(monotonicMs());
     }
 
     @Override
     public String figures() {
-        long untilMs = expiresAtMs;
-        return figures + ReplicationFigures.leaseRemaining(untilMs == NEVER ? 0 : Math.max(0, untilMs - monotonicMs()));
+        long untilMs = expiry.expiresAtMs();
+        return figures
+                + ReplicationFigures.leaseRemaining(
+                        untilMs == LeaseExpiry.NEVER ? 0 : Math.max(0, untilMs - monotonicMs()));
     }
 
     private void publish() {
