Keep input from putting off a tick of membership or replication that is due

Both services cancelled the timer of their next tick at each datagram and set it anew, 1 ms later at least, also when the tick was overdue. Probes, suspicions, renewals and the end of a lease were put off as long as datagrams came without a pause.

Cause and evidence: by the deadlines that the event loop keeps. That datagrams alone starve a tick for long was tried and not seen (50,000 datagrams on one socket: some turn of the loop always took over 1 ms).

Change: TickTimer moves its timer to an earlier time only; a tick that comes early finds nothing due and arms again. MembershipService and ReplicatedConfigService use it in place of their two copies. Membership still reads what waits in the socket before an overdue tick, on purpose: an ACK that has come says that the probe did not fail.

--- /dev/null
+++ b/config/src/main/java/opalcove/timer/package-info.java
@@ -0,0 +1,2 @@
+/** Timers that several modules share. */
+package opalcove.timer;
--- a/gateway/src/main/java/opalcove/cluster/MembershipService.java
+++ b/gateway/src/main/java/opalcove/cluster/MembershipService.java
@@ -18,6 +18,7 @@
 import opalcove.membership.Member;
 import opalcove.membership.ProtocolCounts;
 import opalcove.membership.SwimMessage;
+import opalcove.timer.TickTimer;
 import org.tinylog.Logger;
 
 /**
@@ -37,8 +38,8 @@
     private final List<Member> knownMembers;
     private final Consumer<String> events;
     private final DatagramSocket socket;
+    private final TickTimer timer;
     private FailureDetector detector;
-    private long timer = -1;
     private long sent;
     private long received;
     private long unreadable;
@@ -56,6 +57,7 @@
     public MembershipService(
             Vertx vertx, String name, MembershipConfig settings, List<Member> knownMembers, Consumer<String> events) {
         this.vertx = vertx;
+        timer = new TickTimer(vertx, MembershipService::monotonicMs, this::tick);
         this.name = name;
         this.settings = settings;
         this.knownMembers = knownMembers;
@@ -103,13 +105,7 @@
     }
 
     private void armTimer() {
-        if (timer >= 0) {
-            vertx.cancelTimer(timer);
-        }
-        timer = vertx.setTimer(Math.max(1, detector.nextTickMs() - monotonicMs()), due -> {
-            timer = -1;
-            tick();
-        });
+        timer.arm(detector.nextTickMs());
     }
 
     private void onDatagram(DatagramPacket datagram) {
--- a/replication/src/main/java/opalcove/replication/ReplicatedConfigService.java
+++ b/replication/src/main/java/opalcove/replication/ReplicatedConfigService.java
@@ -24,6 +24,7 @@
 import opalcove.membership.Member;
 import opalcove.recovery.RecoveryPlan;
 import opalcove.recovery.Snapshot;
+import opalcove.timer.TickTimer;
 import org.tinylog.Logger;
 
 /**
@@ -53,13 +54,13 @@
     private final Promise<Void> ready = Promise.promise();
     private final EffectiveConfigSelector selector;
     private final LeaseExpiry expiry = new LeaseExpiry();
+    private final TickTimer timer;
     /** Null if no snapshot file is configured. */
     private final RecoveryTracker recovery;
 
     private Consumer<EffectiveConfig> onChange;
     private Supplier<List<Member>> fleet;
     private ConfigReplica replica;
-    private long timer = -1;
     private long unreadable;
     private boolean isStateRefused;
     private boolean wasLeader;
@@ -80,6 +81,7 @@
         this.settings = settings;
         this.events = new EventWriter(settings.events(), name, events);
         selector = new EffectiveConfigSelector(ownSettings);
+        timer = new TickTimer(vertx, ReplicatedConfigService::monotonicMs, this::tick);
         recovery = settings.snapshotFile() == null
                 ? null
                 : new RecoveryTracker(name, settings.snapshotFile(), (long) ownSettings.meterPeriodMs());
@@ -178,13 +180,7 @@
             activate();
         }
         publish();
-        if (timer >= 0) {
-            vertx.cancelTimer(timer);
-        }
-        timer = vertx.setTimer(Math.max(1, replica.lease().nextTickMs() - monotonicMs()), due -> {
-            timer = -1;
-            tick();
-        });
+        timer.arm(replica.lease().nextTickMs());
     }
 
     private void onDatagram(DatagramPacket datagram) {
