Restart a voter whose state could not be written once it can be again

What callers saw: after a leader's disk had been full for a moment, no version could be agreed as soon as one other voter was down. The leader stayed leader, leases went on, and proposals had no answer ("none of the voters answered within 30000 ms") until the third voter was back.

Cause: MicroRaft 0.7 gives up its flush task when a flush fails and flushes nothing for its own log again, while our store wrote the state at the next message. So the leader never again counted itself: in the trace its commit needs "indices: [9, 10, 110]" for 30 s, of which 9 is its own, from "got a failure in FlushTask" on. That followers refused is ruled out by the same lines (one acknowledged 110), a lost leader by its reads, which succeed.

Change: a failed flush makes the consensus node restart from its store as soon as that is flushed; until then the voter sends nothing, as before, and names no leader. What a handler that was broken off left half done is gone with the node.

Tests: VoterRecoveryTest. Without the restart the leader's case found no decision in 120 s of virtual time; the follower's case passed before, too. Without the failing of reads, the one in flight was never answered.

--- a/replication/src/main/java/opalcove/replication/RaftVoter.java
+++ b/replication/src/main/java/opalcove/replication/RaftVoter.java
@@ -8,7 +8,6 @@
 import io.microraft.executor.RaftNodeExecutor;
 import io.microraft.model.message.RaftMessage;
 import io.microraft.persistence.RestoredRaftState;
-import io.microraft.statemachine.StateMachine;
 import io.microraft.transport.Transport;
 import java.io.IOException;
 import java.io.Serializable;
@@ -56,10 +55,15 @@
         }
     }
 
-    /** One run of the consensus node, from its start to its end, with the versions that it has decided on. */
-    private static final class Incarnation {
-        private final VersionLog log = new VersionLog();
-        private RaftNode node;
+    /** The phases of the consensus node that runs or is to run. */
+    private enum Phase {
+        RUNNING,
+        /** Ends, to be started again. */
+        TERMINATING,
+        /** Has ended, and is started again as soon as the state is written. */
+        TERMINATED,
+        /** This voter's part in the group has ended. */
+        STOPPED
     }
 
     private record PendingRead(Consumer<VersionLog.Version> onResult, Runnable onFailure) {}
@@ -71,19 +75,21 @@
     private static final int HEARTBEAT_TIMEOUT_SECONDS = 3;
 
     private static final String READ_OPERATION = "read";
-    /** Stands in the stored logs. */
-    private static final String NEW_TERM_OPERATION = "term";
-
-    private static final VersionLog.Version NO_VERSION = new VersionLog.Version(0, "", "", "");
 
     private final Setup setup;
     private final BiConsumer<String, byte[]> send;
     private final List<PendingRead> pendingReads = new ArrayList<>();
     private final LongConsumer onVersion;
     private final ElectionMonitor elections = new ElectionMonitor(TimeUnit.SECONDS.toMillis(HEARTBEAT_TIMEOUT_SECONDS));
-    private Incarnation current;
-    private boolean isReading;
-    private boolean hasStopped;
+    private Phase phase = Phase.RUNNING;
+    private RaftNode node;
+    private VersionStateMachine versions;
+    /** How many flushes had failed when the node was started. */
+    private long failedFlushesAtStart;
+
+    /** Empty if none is in flight. */
+    private List<PendingRead> readsInFlight = List.of();
+
     private long restarts;
 
     /**
@@ -96,17 +102,19 @@
         this.setup = setup;
         this.send = send;
         this.onVersion = onVersion;
-        current = createIncarnation();
+        createNode();
     }
 
-    private Incarnation createIncarnation() {
-        Incarnation created = new Incarnation();
+    /** Creates a node that goes on from the state in the store. */
+    private void createNode() {
+        versions = new VersionStateMachine(onVersion);
+        failedFlushesAtStart = setup.store().failedFlushes();
         RaftNode.RaftNodeBuilder builder = RaftNode.newBuilder()
                 .setGroupId(GROUP_ID)
                 .setExecutor(setup.executor())
                 .setClock(setup.clock())
                 .setRandom(setup.random())
-                .setStateMachine(new LogStateMachine(created.log))
+                .setStateMachine(versions)
                 .setTransport(new VoterTransport())
                 .setStore(setup.store())
                 .setConfig(config());
@@ -118,8 +126,7 @@
             setup.voters().forEach(voter -> members.add(new VoterId(voter)));
             builder.setLocalEndpoint(new VoterId(setup.name())).setInitialGroupMembers(members);
         }
-        created.node = builder.build();
-        return created;
+        node = builder.build();
     }
 
     /** Times are seconds of the voter's clock, which its host may run faster than real time. */
@@ -136,63 +143,94 @@
 
     /** Takes part from now on. */
     public void start() {
-        current.node.start();
-        scheduleElectionCheck();
+        node.start();
+        scheduleCheck();
+    }
+
+    private void scheduleCheck() {
+        setup.executor().schedule(this::check, HEARTBEAT_PERIOD_SECONDS, TimeUnit.SECONDS);
+    }
+
+    /** Starts the node again where it cannot go on by itself. */
+    private void check() {
+        if (phase == Phase.STOPPED) {
+            return;
+        }
+        if (phase == Phase.TERMINATED) {
+            startAgain();
+        } else if (phase == Phase.RUNNING) {
+            if (!isIntact()) {
+                restart("its state could not be written");
+            } else {
+                checkElection();
+            }
+        }
+        scheduleCheck();
     }
 
-    private void scheduleElectionCheck() {
-        setup.executor().schedule(this::checkElection, HEARTBEAT_PERIOD_SECONDS, TimeUnit.SECONDS);
+    /** Whether all that the node has stored was written: after a write that failed, the node takes it for written or not at all. */
+    private boolean isIntact() {
+        return setup.store().failedFlushes() == failedFlushesAtStart;
     }
 
     private void checkElection() {
-        current.node.getReport().thenAccept(report -> {
-            if (elections.isStalled(report.getResult(), setup.clock().millis())) {
-                restart();
+        node.getReport().thenAccept(report -> {
+            if (phase == Phase.RUNNING
+                    && elections.isStalled(report.getResult(), setup.clock().millis())) {
+                restart("it keeps to a leader that it has lost");
+            }
+        });
+    }
+
+    /** Starts the node again on what the store holds, as a restart of the process would. */
+    private void restart(String reason) {
+        Logger.warn("agreement: voter restarts from its stored state: {}", reason);
+        phase = Phase.TERMINATING;
+        node.terminate().whenComplete((ended, failure) -> {
+            if (phase == Phase.TERMINATING) {
+                phase = Phase.TERMINATED;
+                failReads();
+                startAgain();
             }
         });
-        if (!hasStopped) {
-            scheduleElectionCheck();
-        }
     }
 
-    /** Starts the consensus node again on what its store holds, as a restart of the process would. */
-    private void restart() {
+    private void startAgain() {
         try {
-            // What the next incarnation takes for stored must be in the file.
+            // What the next node takes for stored must be in the file.
             setup.store().flush();
         } catch (IOException e) {
-            Logger.debug("agreement: voter not restarted, its state is not written: {}", e.getMessage());
+            Logger.debug("agreement: voter not started again, its state is not written: {}", e.getMessage());
             return;
         }
-        Logger.warn("agreement: voter keeps to a leader that it has lost: restarted from its stored state");
         restarts++;
-        current.node.terminate().whenComplete((ended, failure) -> {
-            if (!hasStopped) {
-                current = createIncarnation();
-                current.node.start();
-            }
-        });
+        createNode();
+        phase = Phase.RUNNING;
+        node.start();
     }
 
-    /** How often the consensus node was started again because it kept to a leader that it had lost. */
+    /** How often the consensus node was started again because it could not go on by itself. */
     public long restarts() {
         return restarts;
     }
 
     /** Handles a message of another voter. */
     public void handle(byte[] message) {
-        current.node.handle(SerializedForm.read(message, RaftMessage.class));
+        node.handle(SerializedForm.read(message, RaftMessage.class));
     }
 
     /** The name of the leader, as far as this voter knows; null if it knows none. */
     public String leader() {
-        RaftEndpoint leader = current.node.getTerm().getLeaderEndpoint();
+        if (phase != Phase.RUNNING) {
+            return null;
+        }
+        RaftEndpoint leader = node.getTerm().getLeaderEndpoint();
         return leader == null ? null : leader.getId().toString();
     }
 
     /** The versions as this voter has them, which may lag behind. */
     public List<VersionLog.Version> history() {
-        return current.log.history();
+        return versions.history();
     }
 
     /**
@@ -201,19 +239,22 @@
      */
     public void readNewest(Consumer<VersionLog.Version> onResult, Runnable onFailure) {
         pendingReads.add(new PendingRead(onResult, onFailure));
-        if (!isReading) {
+        if (readsInFlight.isEmpty()) {
             read();
         }
     }
 
     private void read() {
-        isReading = true;
         List<PendingRead> reads = List.copyOf(pendingReads);
         pendingReads.clear();
-        current.node
-                .<VersionLog.Version>query(READ_OPERATION, QueryPolicy.LINEARIZABLE, Optional.empty(), Optional.empty())
+        readsInFlight = reads;
+        node.<VersionLog.Version>query(READ_OPERATION, QueryPolicy.LINEARIZABLE, Optional.empty(), Optional.empty())
                 .whenComplete((newest, failure) -> {
-                    isReading = false;
+                    if (readsInFlight != reads) {
+                        // The node was restarted meanwhile.
+                        return;
+                    }
+                    readsInFlight = List.of();
                     reads.forEach(each -> {
                         if (failure == null) {
                             each.onResult().accept(newest.getResult());
@@ -227,10 +268,18 @@
                 });
     }
 
+    /** Fails the reads of a node that has ended. Guards later reads, which wait for the one in flight: not all are ended by it. */
+    private void failReads() {
+        List<PendingRead> reads = new ArrayList<>(readsInFlight);
+        reads.addAll(pendingReads);
+        readsInFlight = List.of();
+        pendingReads.clear();
+        reads.forEach(each -> each.onFailure().run());
+    }
+
     /** Has the voters decide on a proposal; fails if this voter is not the leader, or if the outcome is not known. */
     public void propose(VersionLog.Proposal proposal, Consumer<VersionLog.Outcome> onOutcome, Runnable onFailure) {
-        current.node
-                .<VersionLog.Outcome>replicate(proposal)
+        node.<VersionLog.Outcome>replicate(proposal)
                 .whenComplete((Ordered<VersionLog.Outcome> outcome, Throwable failure) -> {
                     if (failure == null) {
                         onOutcome.accept(outcome.getResult());
@@ -242,8 +291,8 @@
 
     /** Ends this voter's part in the group. */
     public void stop() {
-        hasStopped = true;
-        current.node.terminate();
+        phase = Phase.STOPPED;
+        node.terminate();
     }
 
     /**
@@ -253,7 +302,7 @@
     private final class VoterTransport implements Transport {
         @Override
         public void send(RaftEndpoint target, RaftMessage message) {
-            if (setup.store().isWritten()) {
+            if (isIntact() && setup.store().isWritten()) {
                 send.accept(target.getId().toString(), SerializedForm.write(message));
             }
         }
@@ -263,40 +312,4 @@
             return true;
         }
     }
-
-    private final class LogStateMachine implements StateMachine {
-        private final VersionLog log;
-
-        LogStateMachine(VersionLog log) {
-            this.log = log;
-        }
-
-        @Override
-        public Object runOperation(long index, Object operation) {
-            if (operation instanceof VersionLog.Proposal proposal) {
-                VersionLog.Outcome outcome = log.decide(proposal);
-                if (outcome.accepted()) {
-                    onVersion.accept(outcome.version());
-                }
-                return outcome;
-            }
-            return log.newest() == null ? NO_VERSION : log.newest();
-        }
-
-        @Override
-        public void takeSnapshot(long index, Consumer<Object> chunks) {
-            chunks.accept(new ArrayList<>(log.history()));
-        }
-
-        @Override
-        @SuppressWarnings("unchecked")
-        public void installSnapshot(long index, List<Object> chunks) {
-            log.restore((List<VersionLog.Version>) chunks.get(0));
-        }
-
-        @Override
-        public Object getNewTermOperation() {
-            return NEW_TERM_OPERATION;
-        }
-    }
 }
--- a/replication/src/main/java/opalcove/replication/RaftVoterStore.java
+++ b/replication/src/main/java/opalcove/replication/RaftVoterStore.java
@@ -41,6 +41,8 @@
     /** Whether the last flush failed: the state of this voter is not in its file. */
     private boolean hasFailed;
 
+    private long failedFlushes;
+
     private RaftVoterStore(FileOperations operations, Path file, State state) {
         this.operations = operations;
         this.file = file;
@@ -82,6 +84,11 @@
         return !hasFailed;
     }
 
+    /** How many flushes have failed since the store was opened. */
+    long failedFlushes() {
+        return failedFlushes;
+    }
+
     /** The state that was stored; null if there is none. */
     RestoredRaftState restored() {
         if (state.endpoint == null || state.members == null) {
@@ -160,6 +167,7 @@
             AtomicFile.write(operations, file, SerializedForm.write(state));
             hasFailed = false;
         } catch (IOException e) {
+            failedFlushes++;
             if (!hadFailed) {
                 Logger.error(
                         "agreement: voter state not written, this voter is silent until it is: {}", e.getMessage());
--- /dev/null
+++ b/replication/src/test/java/opalcove/replication/VoterRecoveryTest.java
@@ -0,0 +1,128 @@
+package opalcove.replication;
+
+import static org.testng.Assert.assertEquals;
+
+import java.io.IOException;
+import java.nio.ByteBuffer;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import opalcove.configlease.VersionLog;
+import org.testng.annotations.BeforeMethod;
+import org.testng.annotations.Test;
+
+/** Voters in virtual time that go on after a fault of their own. */
+public class VoterRecoveryTest {
+    /** Longer than an election, and than a voter takes to rejoin. */
+    private static final long SETTLE_MS = 20_000;
+    /** Shorter than it takes the others to give up a leader. */
+    private static final long BRIEF_MS = 1_000;
+
+    /** A disk whose writes fail while it is full. */
+    private static final class Disk implements FileOperations {
+        private boolean isFull;
+
+        @Override
+        public void write(Path name, ByteBuffer bytes) throws IOException {
+            if (isFull) {
+                throw new IOException("No space left on device");
+            }
+            FileOperations.REAL.write(name, bytes);
+        }
+
+        @Override
+        public void sync(Path name) throws IOException {
+            FileOperations.REAL.sync(name);
+        }
+
+        @Override
+        public void addSecondName(Path name, Path of) throws IOException {
+            FileOperations.REAL.addSecondName(name, of);
+        }
+
+        @Override
+        public void rename(Path from, Path to) throws IOException {
+            FileOperations.REAL.rename(from, to);
+        }
+    }
+
+    private Map<String, Disk> disks;
+    private VirtualVoters voters;
+    private int proposals;
+
+    @BeforeMethod
+    public void start() throws IOException {
+        Path folder = Files.createTempDirectory("voters");
+        disks = new LinkedHashMap<>();
+        proposals = 0;
+        Map<String, RaftVoterStore> stores = new LinkedHashMap<>();
+        for (String name : VirtualVoters.NAMES) {
+            disks.put(name, new Disk());
+            stores.put(name, RaftVoterStore.open(disks.get(name), folder.resolve(name)));
+        }
+        voters = new VirtualVoters(stores, (from, message) -> {});
+    }
+
+    private VersionLog.Proposal nextProposal() {
+        proposals++;
+        return new VersionLog.Proposal("id-" + proposals, proposals - 1, "ops", "text " + proposals);
+    }
+
+    private void proposeNext() {
+        VersionLog.Outcome outcome = voters.propose(nextProposal());
+        assertEquals(outcome, new VersionLog.Outcome(true, proposals, ""));
+    }
+
+    private static List<String> others(String name) {
+        return VirtualVoters.NAMES.stream().filter(each -> !each.equals(name)).toList();
+    }
+
+    /** Guards against a leader that does not count itself any more once a write of its state has failed. */
+    @Test
+    public void aLeaderWhoseDiskWasFullDecidesAgainWithOneOtherVoter() {
+        String leader = voters.awaitLeader();
+        proposeNext();
+        disks.get(leader).isFull = true;
+        proposeNext();
+        voters.run(BRIEF_MS);
+        disks.get(leader).isFull = false;
+        voters.run(SETTLE_MS);
+        voters.cutOff(others(leader).get(0));
+        proposeNext();
+    }
+
+    /** Guards against reads that wait for ever for one which the former node never answers. */
+    @Test
+    public void aReadThatALeaderCannotAnswerAnyMoreFails() {
+        String leader = voters.awaitLeader();
+        proposeNext();
+        List<String> reads = new ArrayList<>();
+        disks.get(leader).isFull = true;
+        proposeNext();
+        voters.voter(leader).readNewest(newest -> reads.add("answered"), () -> reads.add("failed"));
+        voters.run(SETTLE_MS);
+        disks.get(leader).isFull = false;
+        voters.run(SETTLE_MS);
+        assertEquals(reads, List.of("failed"));
+    }
+
+    /** Guards against a follower whose handling of a request was broken off by the write that failed. */
+    @Test
+    public void aFollowerWhoseDiskWasFullVotesAndFollowsAgain() {
+        String leader = voters.awaitLeader();
+        String follower = others(leader).get(0);
+        proposeNext();
+        disks.get(follower).isFull = true;
+        proposeNext();
+        voters.run(SETTLE_MS);
+        disks.get(follower).isFull = false;
+        voters.run(SETTLE_MS);
+        voters.cutOff(others(leader).get(1));
+        proposeNext();
+        voters.run(SETTLE_MS);
+        assertEquals(voters.voter(follower).history().size(), proposals);
+    }
+}
