--- a/replication/src/main/java/opalcove/replication/RaftVoter.java
+++ b/replication/src/main/java/opalcove/replication/RaftVoter.java
@@ -6,6 +6,7 @@
 import io.microraft.RaftEndpoint;
 import io.microraft.RaftNode;
 import io.microraft.executor.RaftNodeExecutor;
+import io.microraft.model.message.AppendEntriesRequest;
 import io.microraft.model.message.RaftMessage;
 import io.microraft.persistence.RestoredRaftState;
 import io.microraft.transport.Transport;
@@ -161,6 +162,8 @@
         } else if (phase == Phase.RUNNING) {
             if (!isIntact()) {
                 restart("its state could not be written");
+            } else if (setup.store().hasDiverged()) {
+                restart("its log contradicts the leader's right after its snapshot");
             } else {
                 checkElection();
             }
@@ -196,6 +199,7 @@
     }
 
     private void startAgain() {
+        setup.store().discardDivergedEntries();
         try {
             // What the next node takes for stored must be in the file.
             setup.store().flush();
@@ -216,7 +220,11 @@
 
     /** Handles a message of another voter. */
     public void handle(byte[] message) {
-        node.handle(SerializedForm.read(message, RaftMessage.class));
+        RaftMessage read = SerializedForm.read(message, RaftMessage.class);
+        if (read instanceof AppendEntriesRequest request) {
+            setup.store().compare(request);
+        }
+        node.handle(read);
     }
 
     /** The name of the leader, as far as this voter knows; null if it knows none. */
--- a/replication/src/main/java/opalcove/replication/RaftVoterStore.java
+++ b/replication/src/main/java/opalcove/replication/RaftVoterStore.java
@@ -5,6 +5,7 @@
 import io.microraft.model.log.RaftGroupMembersView;
 import io.microraft.model.log.SnapshotChunk;
 import io.microraft.model.log.SnapshotEntry;
+import io.microraft.model.message.AppendEntriesRequest;
 import io.microraft.model.persistence.RaftEndpointPersistentState;
 import io.microraft.model.persistence.RaftTermPersistentState;
 import io.microraft.persistence.RaftStore;
@@ -33,6 +34,8 @@
         private SnapshotChunk snapshot;
     }
 
+    private static final long NONE = -1;
+
     private final FileOperations operations;
     /** Null for a store in memory. */
     private final Path file;
@@ -42,6 +45,8 @@
     private boolean hasFailed;
 
     private long failedFlushes;
+    /** The index of the snapshot whose following entries contradict the leader's; NONE if there is none. */
+    private long divergedAfter = NONE;
 
     private RaftVoterStore(FileOperations operations, Path file, State state) {
         this.operations = operations;
@@ -89,6 +94,37 @@
         return failedFlushes;
     }
 
+    /** Whether entries are stored after the snapshot that contradict the leader's: they are not committed. */
+    boolean hasDiverged() {
+        return divergedAfter != NONE;
+    }
+
+    /**
+     * Notes whether the entries of a request contradict those stored right after the snapshot. MicroRaft 0.7 cannot compare
+     * these, for the entry before them is in the snapshot, and refuses every such request.
+     */
+    void compare(AppendEntriesRequest request) {
+        boolean followsSnapshot = state.snapshot != null
+                && request.getPreviousLogIndex() == state.snapshot.getIndex()
+                && request.getPreviousLogTerm() == state.snapshot.getTerm();
+        boolean isCurrent = state.term != null && request.getTerm() >= state.term.getTerm();
+        if (!followsSnapshot || !isCurrent || request.getLogEntries().isEmpty()) {
+            return;
+        }
+        LogEntry own = state.entries.get(state.snapshot.getIndex() + 1);
+        if (own != null && own.getTerm() != request.getLogEntries().get(0).getTerm()) {
+            divergedAfter = state.snapshot.getIndex();
+        }
+    }
+
+    /** Drops the entries that contradict the leader's; to be called while no consensus node uses the store. */
+    void discardDivergedEntries() {
+        if (state.snapshot != null && state.snapshot.getIndex() == divergedAfter) {
+            state.entries.tailMap(divergedAfter, false).clear();
+        }
+        divergedAfter = NONE;
+    }
+
     /** The state that was stored; null if there is none. */
     RestoredRaftState restored() {
         if (state.endpoint == null || state.members == null) {
@@ -136,6 +172,11 @@
             throw new IllegalStateException(
                     "a snapshot of versions is one chunk, not " + chunk.getSnapshotChunkCount());
         }
+        // Raft keeps the entries after a snapshot only where the entry at its index is the snapshot's own.
+        LogEntry own = state.entries.get(chunk.getIndex());
+        if (own != null && own.getTerm() != chunk.getTerm() && state.entries.higherKey(chunk.getIndex()) != null) {
+            divergedAfter = chunk.getIndex();
+        }
         state.snapshot = chunk;
     }
 
--- a/replication/src/test/java/opalcove/replication/VoterRecoveryTest.java
+++ b/replication/src/test/java/opalcove/replication/VoterRecoveryTest.java
@@ -10,6 +10,8 @@
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
+import java.util.TreeSet;
 import opalcove.configlease.VersionLog;
 import org.testng.annotations.BeforeMethod;
 import org.testng.annotations.Test;
@@ -20,6 +22,8 @@
     private static final long SETTLE_MS = 20_000;
     /** Shorter than it takes the others to give up a leader. */
     private static final long BRIEF_MS = 1_000;
+    /** Proposals and the entry of the first term: as many entries as a snapshot is taken after. */
+    private static final int PROPOSALS_TO_SNAPSHOT = 7;
 
     /** A disk whose writes fail while it is full. */
     private static final class Disk implements FileOperations {
@@ -125,4 +129,36 @@
         voters.run(SETTLE_MS);
         assertEquals(voters.voter(follower).history().size(), proposals);
     }
+
+    /** Guards against a former leader that refuses all entries because its own ones after a snapshot are others. */
+    @Test
+    public void aVoterWithOtherEntriesRightAfterItsSnapshotCatchesUp() {
+        String former = voters.awaitLeader();
+        for (int i = 0; i < PROPOSALS_TO_SNAPSHOT; i++) {
+            proposeNext();
+        }
+        voters.cutOff(former);
+        Set<String> lost = new TreeSet<>();
+        for (String each : List.of("lost-1", "lost-2")) {
+            voters.voter(former)
+                    .propose(
+                            new VersionLog.Proposal(each, proposals, "ops", each),
+                            outcome -> lost.add("decided: " + outcome),
+                            () -> lost.add(each));
+        }
+        proposeNext();
+        voters.heal();
+        voters.run(SETTLE_MS);
+        proposeNext();
+        voters.run(SETTLE_MS);
+        assertEquals(lost, Set.of("lost-1", "lost-2"));
+        for (String each : VirtualVoters.NAMES) {
+            assertEquals(
+                    voters.voter(each).history(),
+                    voters.voter(others(former).get(0)).history(),
+                    each);
+        }
+        voters.cutOff(others(former).get(0));
+        proposeNext();
+    }
 }
