Judge what a kill after SIGTERM leaves unanswered in the soak, and kill by the settings

Cause: the oracle passed over every request that a kill ended, and the kill waited 3.7 s whatever the settings. Owed is what came up to 0.7 s after SIGTERM; only a SIGKILL without one frees a gateway of all.

Change: a killed gateway says when it was sent its SIGTERM, and a request that it had read by 0.7 s after that and did not answer breaks ANSWERED. The kill's time is the longest deadline of the classes, 3 s at most, and the notice.

--- a/laboratory/src/main/java/opalcove/laboratory/soak/ClientConnection.java
+++ b/laboratory/src/main/java/opalcove/laboratory/soak/ClientConnection.java
@@ -24,6 +24,9 @@
     interface Gateway {
         /** Whether what ends now is the doing of a signal that the soak sent, so that nothing is owed. */
         boolean killed();
+
+        /** When the process was sent the SIGTERM that came before its kill; below 0 if none did. */
+        double terminationSentAt();
     }
 
     /** A command that waits for its answer; the request is null for one that is no request. */
@@ -233,6 +236,9 @@
             return;
         }
         boolean killed = gateway.killed();
+        if (killed) {
+            noteTermination();
+        }
         if (!killed && owed > 0) {
             Waiting first = waiting.poll();
             if (first != null && first.request() != null) {
@@ -242,6 +248,15 @@
         end(killed ? End.KILLED : End.CLOSED);
     }
 
+    private void noteTermination() {
+        double sentAt = gateway.terminationSentAt();
+        waiting.forEach(each -> {
+            if (each.request() != null) {
+                each.request().terminationSentAt = sentAt;
+            }
+        });
+    }
+
     @Override
     public void exceptionCaught(ChannelHandlerContext context, Throwable cause) {
         context.close();
--- a/laboratory/src/main/java/opalcove/laboratory/soak/GatewayProcess.java
+++ b/laboratory/src/main/java/opalcove/laboratory/soak/GatewayProcess.java
@@ -10,6 +10,7 @@
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.ArrayList;
+import java.util.Arrays;
 import java.util.List;
 import java.util.Optional;
 import java.util.concurrent.TimeUnit;
@@ -18,8 +19,10 @@
 
 /** A gateway's process, its file and its log. Used by several threads. */
 final class GatewayProcess implements ClientConnection.Gateway {
-    /** A process that was told to end is killed no sooner than this, ms: the longest deadline counts as 3 s at the most. */
-    private static final int KILL_AFTER_MS = 3700;
+    /** Of a request's deadline so much counts for how long a process that was told to end may go on, ms. */
+    private static final int MAX_COUNTED_DEADLINE_MS = 3000;
+    /** After a SIGTERM, what comes within this time is answered, and the kill is no sooner than a deadline after that, ms. */
+    static final int TERMINATION_NOTICE_MS = 700;
 
     private static final int PING_EVERY_MS = 25;
     private static final int READY_MS = 10_000;
@@ -55,6 +58,7 @@
     private volatile Process ending;
 
     private volatile boolean killed;
+    private volatile double terminationSentAt = -1;
 
     GatewayProcess(int number, SoakPlan plan, Path folder, SoakClock clock, Means means, List<SoakViolation> violations)
             throws IOException {
@@ -110,6 +114,7 @@
         shim.ifPresent(each -> each.loadInto(builder, means.shimLibrary().orElseThrow()));
         double startedAt = clock.now();
         killed = false;
+        terminationSentAt = -1;
         Process started = builder.start();
         process = started;
         started.onExit().thenRun(() -> exited(started));
@@ -155,6 +160,20 @@
         return killed;
     }
 
+    @Override
+    public double terminationSentAt() {
+        return terminationSentAt;
+    }
+
+    /** When a process that was told to end is killed at the earliest, ms: the longest deadline and the notice. */
+    private static int killAfterMs() {
+        int longestMs = Arrays.stream(SoakClass.values())
+                .mapToInt(each -> each.deadlineMs)
+                .max()
+                .orElseThrow();
+        return Math.min(longestMs, MAX_COUNTED_DEADLINE_MS) + TERMINATION_NOTICE_MS;
+    }
+
     void signal(String name) {
         Process now = process;
         if (now != null) {
@@ -174,8 +193,9 @@
         Process now = process;
         ending = now;
         double notifiedAt = clock.now();
+        terminationSentAt = notifiedAt;
         ProcessCommands.signal(now, "TERM");
-        if (now.waitFor(KILL_AFTER_MS, TimeUnit.MILLISECONDS)) {
+        if (now.waitFor(killAfterMs(), TimeUnit.MILLISECONDS)) {
             // Before its start hook is set SIGTERM ends the JVM by itself, which is as good.
             if (now.exitValue() != 0 && now.exitValue() != 143) {
                 broken(SoakRule.ENDS_WELL, "ended with " + now.exitValue() + " after SIGTERM\n" + tail());
--- a/laboratory/src/main/java/opalcove/laboratory/soak/History.java
+++ b/laboratory/src/main/java/opalcove/laboratory/soak/History.java
@@ -45,6 +45,9 @@
 
         End end;
         double endAt = -1;
+        /** When the gateway that was killed before it answered had been sent a SIGTERM; below 0 if it was not. */
+        double terminationSentAt = -1;
+
         String answer = "";
         final List<Attempt> attempts = new ArrayList<>(2);
 
--- a/laboratory/src/main/java/opalcove/laboratory/soak/Oracle.java
+++ b/laboratory/src/main/java/opalcove/laboratory/soak/Oracle.java
@@ -69,7 +69,11 @@
     }
 
     private void judgeEnd(Request request) {
-        if (request.sentAt < 0 || request.end == End.LEFT || request.end == End.KILLED) {
+        if (request.sentAt < 0 || request.end == End.LEFT) {
+            return;
+        }
+        if (request.end == End.KILLED) {
+            judgeKilled(request);
             return;
         }
         double dueAt = Math.max(request.sentAt + request.waitMs, request.turnAt) + LOST_AFTER_MS;
@@ -110,6 +114,20 @@
         }
     }
 
+    /** A kill frees a gateway of what it owes only where no SIGTERM came before it, or the request came late after that. */
+    private void judgeKilled(Request request) {
+        double owedUntil = request.terminationSentAt + GatewayProcess.TERMINATION_NOTICE_MS - CROSSING_MS;
+        if (request.terminationSentAt >= 0 && request.sentAt <= owedUntil) {
+            broken(
+                    SoakRule.ANSWERED,
+                    request.gateway,
+                    request.endAt,
+                    "%s not answered before the kill, SIGTERM sent at %.0f",
+                    describe(request),
+                    request.terminationSentAt);
+        }
+    }
+
     private boolean mayBeRefused(Request request) {
         boolean ran = request.attempts.stream().anyMatch(attempt -> mayHaveRun(attempt, request.endAt));
         boolean shared =
--- a/laboratory/src/test/java/opalcove/laboratory/soak/OracleTest.java
+++ b/laboratory/src/test/java/opalcove/laboratory/soak/OracleTest.java
@@ -245,4 +245,21 @@
         owed.stalls.add(behind);
         assertEquals(judged(owed), Set.of(), "closed with the answer before it");
     }
+
+    /** Guards against an oracle that takes every kill for an excuse. */
+    @Test
+    public void aKillAfterSigtermFreesOnlyWhatCameLate() {
+        assertEquals(killed(1000, -1), Set.of(), "no SIGTERM");
+        assertEquals(killed(1000, 900), Set.of(SoakRule.ANSWERED));
+        assertEquals(killed(1540, 900), Set.of(SoakRule.ANSWERED), "within the notice");
+        assertEquals(killed(1610, 900), Set.of(), "late after SIGTERM");
+    }
+
+    private Set<SoakRule> killed(double sentAt, double terminationSentAt) {
+        History history = new History();
+        Request request = request(history, SoakClass.LOOKUP, sentAt);
+        request.terminationSentAt = terminationSentAt;
+        request.ended(End.KILLED, 4100);
+        return judged(history);
+    }
 }
