Answer the history of versions by the leader, and never with an empty one of a new start

What callers saw: "state history" asked of a voter that has just started gave no versions at all, while the version in force was 3. In UpgradeRigTest, beside load: "lists don't have the same size expected [3] but found [0]".

Cause: each voter answered from its own copy, and a copy is empty until the leader has told a restarted voter what is decided. The gateway's lease is confirmed by the leader and can be there before.

Change: a voter passes the request on to the leader, which reads the newest version first. Without a leader a voter answers from its own copy, as before, but not with an empty one: the client then asks the next voter.

Tests: ReplicationMessageFormTest, a voter that has just started; it answered with an empty history before.

--- a/replication/src/main/java/opalcove/replication/ConfigReplica.java
+++ b/replication/src/main/java/opalcove/replication/ConfigReplica.java
@@ -150,12 +150,8 @@
             }
             case VERSION_REQUEST -> onVersionRequest(message);
             case PROPOSAL -> onProposal(message);
-            case HISTORY_REQUEST ->
-                respond(
-                        message,
-                        Kind.HISTORY_RESPONSE,
-                        ReplicationMessage.historyBody(voter == null ? List.of() : voter.history()));
-            case VERSION_RESPONSE, PROPOSAL_RESPONSE -> onResponse(message);
+            case HISTORY_REQUEST -> onHistoryRequest(message);
+            case VERSION_RESPONSE, PROPOSAL_RESPONSE, HISTORY_RESPONSE -> onResponse(message);
             case VERSION_ANNOUNCEMENT -> lease.onVersionAnnounced(host.nowMs(), message.version());
             default ->
                 throw new InvalidConfigurationException("no request of this gateway is answered by " + message.kind());
@@ -213,6 +209,24 @@
                 () -> {});
     }
 
+    /**
+     * Responds with the leader's history. Without a leader the voter's own may still help, but not an empty one: a voter
+     * that has just started knows of no version before the leader has told it which are decided.
+     */
+    private void onHistoryRequest(ReplicationMessage request) {
+        if (voter != null && voter.leader() == null) {
+            if (!voter.history().isEmpty()) {
+                respondWithHistory(request);
+            }
+        } else if (!forwardedToLeader(request)) {
+            voter.readNewest(newest -> respondWithHistory(request), () -> {});
+        }
+    }
+
+    private void respondWithHistory(ReplicationMessage request) {
+        respond(request, Kind.HISTORY_RESPONSE, ReplicationMessage.historyBody(voter.history()));
+    }
+
     private void onProposal(ReplicationMessage request) {
         if (forwardedToLeader(request)) {
             return;
--- a/replication/src/test/java/opalcove/replication/ReplicationMessageFormTest.java
+++ b/replication/src/test/java/opalcove/replication/ReplicationMessageFormTest.java
@@ -206,6 +206,21 @@
         assertTrue(text.endsWith("\",\"o\":{\"n\":\"g9\",\"a\":\"d:9\"}}]"), text);
     }
 
+    /** Guards against an empty history of a voter that has just started and knows nothing of what is decided. */
+    @Test
+    public void aVoterThatKnowsNoLeaderAndNoVersionLeavesTheHistoryToOthers() {
+        Host host = new Host();
+        ConfigReplica replica = replica(host, Map.of("g1", "a:1", "g2", "b:2", "g3", "e:3"), true);
+        replica.start();
+        replica.receive(message("\"k\":\"HISTORY\",\"s\":3"));
+        host.run(100);
+        assertEquals(
+                host.takeSent().stream()
+                        .filter(each -> !each.contains("\"k\":\"RAFT\""))
+                        .toList(),
+                List.of());
+    }
+
     @Test
     public void aGatewayRequestsTheVersionAndAdoptsTheResponse() {
         Host host = new Host();
