Show that a release of the queue neither loses nor repeats requests that go back to it

Explained: by the run of a new test, twelve requests go round for 100 ms of releases while all backends drain, and are then forwarded once each and in their order. Nothing in the module is changed; the test guards it.

--- a/decision/src/test/java/opalcove/decision/RequestForwarderTest.java
+++ b/decision/src/test/java/opalcove/decision/RequestForwarderTest.java
@@ -6,6 +6,7 @@
 import static org.junit.jupiter.api.Assertions.assertFalse;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
+import java.util.ArrayList;
 import java.util.List;
 import org.junit.jupiter.api.Test;
 
@@ -154,4 +155,35 @@
                                 .count(),
                 "none waits for its deadline");
     }
+
+    /** Guards against a release of the queue that loses or repeats requests which go back to it while it is read. */
+    @Test
+    void requestsThatGoBackToTheirQueueAreForwardedOnceAndInTheirOrder() {
+        gateway.start(gateway.limits, 2);
+        gateway.list(
+                true,
+                endpoint("h1", "east", EndpointState.DRAINING, 0),
+                endpoint("h2", "east", EndpointState.DRAINING, 0),
+                endpoint("h3", "east", EndpointState.DRAINING, 0));
+        List<String> submitted = new ArrayList<>();
+        for (int i = 0; i < 12; i++) {
+            submitted.add("r" + i);
+            gateway.submit("r" + i, "look", "open", 4000);
+        }
+        gateway.until(100);
+        assertEquals(List.of(), gateway.sends);
+        assertEquals(List.of(), gateway.shed);
+        gateway.list(true, up("h1"), up("h2"), up("h3"));
+        for (int served = 0; served < submitted.size(); ) {
+            gateway.until(gateway.now + 20);
+            for (; served < gateway.sends.size(); served++) {
+                String[] attempt = gateway.sends.get(served).split("@");
+                gateway.endAttempt(attempt[0], attempt[1], 0, AttemptStatus.SERVED);
+            }
+            assertTrue(gateway.now < 4000, "sent " + gateway.sends + ", shed " + gateway.shed);
+        }
+        assertEquals(
+                submitted,
+                gateway.sends.stream().map(each -> each.split("@")[0]).toList());
+    }
 }
