--- a/laboratory/src/main/java/opalcove/laboratory/VoterSoak.java
+++ b/laboratory/src/main/java/opalcove/laboratory/VoterSoak.java
@@ -279,7 +279,7 @@
         authors.put(newest, author);
     }
 
-    /** What was accepted is in the histories of all voters, as far back as they go, once they have caught up. */
+    /** What was accepted is in the history, whichever voter is asked: each passes the request on to the leader. */
     private void checkHistory() throws IOException, InterruptedException {
         for (String name : VOTERS) {
             List<VersionLog.Version> history = awaitHistory(name);
@@ -299,7 +299,7 @@
         }
     }
 
-    /** A voter's history, which may lag behind for a while. */
+    /** The history by way of a voter; its own copy, which may lag behind, while it knows no leader. */
     private List<VersionLog.Version> awaitHistory(String name) throws IOException, InterruptedException {
         long endNanos = System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(MAX_ANSWER_MS);
         while (true) {
