Review case 2: all clients send at once, 25 of them

Cause: bursts that began 20 ms apart let the gateway answer some before others came, so that a faster or slower machine could pass. Change: the clients wait for each other; 25 of them rather than 20, 500 commands.

--- a/review/2/LongCommandsAtOnce.java
+++ b/review/2/LongCommandsAtOnce.java
@@ -4,16 +4,17 @@
 import java.util.Map;
 import java.util.TreeMap;
 import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicInteger;
 
 /**
- * Twenty clients, each with one connection on which it has been served before, send twenty swap records each, with bodies
+ * Twenty-five clients, each with one connection on which it has been served before, send twenty swap records each, with bodies
  * of 64 KiB. The disruption: each sends its twenty commands at once; without it, each sends the next command when the
  * answer to the one before has come. The rule: each request gets its final answer (served, -BUSY or an error) by half a
  * second after its time.
  */
 final class LongCommandsAtOnce {
-    private static final int CLIENTS = 20;
+    private static final int CLIENTS = 25;
     private static final int COMMANDS = 20;
     private static final int BODY_BYTES = 64 * 1024;
     private static final int WAIT_MS = 7000;
@@ -54,14 +55,14 @@
                     rig.log("client %d sends %s: %s", number, first, client.read(6000));
                     answeredBefore.incrementAndGet();
                     servedOnce.countDown();
-                    Rig.pause(600);
+                    servedOnce.await(5, TimeUnit.SECONDS);
                     if (trouble) {
                         sendAtOnce(rig, client, number, body, ends, unanswered);
                     } else {
                         sendOneByOne(rig, client, number, body, ends, unanswered);
                     }
-                } finally {
-                    servedOnce.countDown();
+                } catch (InterruptedException e) {
+                    Thread.currentThread().interrupt();
                 }
             }));
             Rig.pause(20);
