Review case 3: a gathered long value never ends after a second copy

RespBackendConnection is itself the StreamedValue that it has delivered; the next long string on the connection resets isStreamComplete, so a value that is gathered and not yet written out never ends.

--- a/review/3/run.sh
+++ b/review/3/run.sh
@@ -1,6 +1,6 @@
 #!/bin/sh
-# The gateway must not cut off an answer that a backend still gives. Exits with 1 if the rule was broken, 0 if it held,
+# Each request must get its whole final answer. Exits with 1 if the rule was broken, 0 if it held,
 # 2 if the case couldn't run; TROUBLE=0 runs it without the disruption.
 cd "$(dirname "$0")" || exit 2
-[ -f ../target/SlowAnswer.class ] && [ -f ../../target/opalcove-gateway.jar ] || { echo "not built" >&2; exit 2; }
-exec java -XX:+UseSerialGC -Xmx128m -cp ../target SlowAnswer "$(cd ../.. && pwd)" "$PWD/record.txt"
+[ -f ../target/StuckPipeline.class ] && [ -f ../../target/opalcove-gateway.jar ] || { echo "not built" >&2; exit 2; }
+exec java -XX:+UseSerialGC -Xmx128m -cp ../target StuckPipeline "$(cd ../.. && pwd)" "$PWD/record.txt"
