--- a/review/build-2.sh
+++ b/review/build-2.sh
@@ -1,9 +1,8 @@
 #!/bin/sh
-# Builds the stand-ins and the tests of the second review into review/standins-2/target. Run it after the build of the
-# deploy file.
+# Builds the stand-ins and the tests of the second review (cases 6 to 10) into review/standins-2/target. Needs the JDK
+# alone; run it after the build of the deploy file.
 set -eu
-cd "$(dirname "$0")/.."
-rm -rf review/standins-2/target
-mkdir -p review/standins-2/target
-find review/standins-2 review/6 review/7 review/8 review/9 review/10 -name '*.java' \
-    -exec javac --release 17 -Xlint:all -Werror -d review/standins-2/target {} +
+cd "$(dirname "$0")/standins-2"
+rm -rf target
+mkdir -p target
+javac --release 17 -Xlint:all -Werror -d target *.java
