--- a/review/9/run.sh
+++ b/review/9/run.sh
@@ -1,5 +1,5 @@
 #!/bin/sh
 # Exits with 1 if the rule was broken, 0 if it held, 2 if the case couldn't run. TROUBLE=0 leaves the disruption out.
 cd "$(dirname "$0")/../.." || exit 2
-[ -f review/standins-2/target/LongValue.class ] && [ -f target/opalcove-gateway.jar ] || { echo "not built" >&2; exit 2; }
-exec java -XX:+UseSerialGC -Xmx512m -cp review/standins-2/target LongValue review/9
+[ -f review/standins-2/target/Leaver.class ] && [ -f target/opalcove-gateway.jar ] || { echo "not built" >&2; exit 2; }
+exec java -XX:+UseSerialGC -Xmx512m -cp review/standins-2/target Leaver review/9
