A long value of any length is followed by one line end

Cause: Netty reports from within a write that the socket has become unwritable. The write of the line end was such a write; the listener then continued the stream, whose slot was not yet complete, and ended it a second time. Change: RawSocket reports writability in a task of its own later in the same turn, so no write calls its caller back. The check in ResponseStream, which knew of this for the writes of its own loop, has gone.

--- a/gateway/src/main/java/opalcove/resp/RawSocket.java
+++ b/gateway/src/main/java/opalcove/resp/RawSocket.java
@@ -24,7 +24,8 @@
  * at its end. Everything else (opening, closing, errors) is handled by Vert.x. Owned by the socket's event loop.
  *
  * <p>Invariants: bytes are sent in the order of the calls; bytes that wait for the end of the turn when the socket is
- * closed by {@link #closeAndDiscard} are never sent; every buffer passed to a write method is released, sent or not.
+ * closed by {@link #closeAndDiscard} are never sent; every buffer passed to a write method is released, sent or not; a
+ * write does not call the listener before it returns, except to record that the write has failed.
  */
 final class RawSocket extends ChannelInboundHandlerAdapter implements Runnable, ChannelFutureListener {
     /** The maximum number of reads of a socket in one turn of the event loop. */
@@ -42,7 +43,10 @@
         /** Called after the reads of one turn of the event loop, or of {@link #readNow}. */
         default void readsCompleted() {}
 
-        /** Called when the socket has become writable or unwritable. */
+        /**
+         * Called after the socket has become writable or unwritable, later in the same turn and never from within a
+         * write; by then the socket may have changed again.
+         */
         default void writabilityChanged() {}
 
         /**
@@ -54,7 +58,10 @@
             return true;
         }
 
-        /** Called when written bytes were not sent and never will be. */
+        /**
+         * Called when written bytes were not sent and never will be, possibly from within the write; the listener may
+         * only record it.
+         */
         default void writeFailed() {}
     }
 
@@ -62,10 +69,12 @@
     private final ChannelHandlerContext channel;
     private final Listener listener;
     private final Handler<Object> readHandler;
+    private final Runnable writabilityTask = this::reportWritability;
     private final boolean reportsWriteFailures;
     private final long waitingSince;
     private ByteBuf batch;
     private boolean isFlushScheduled;
+    private boolean isWritabilityReportScheduled;
 
     /**
      * To be called in the connect handler of the socket, on its context.
@@ -104,10 +113,22 @@
 
     @Override
     public void channelWritabilityChanged(ChannelHandlerContext from) {
-        context.emit(null, changed -> listener.writabilityChanged());
+        if (!isWritabilityReportScheduled) {
+            isWritabilityReportScheduled = true;
+            // Guards whoever writes: a write can make the socket unwritable, and its caller has not updated its own
+            // state yet.
+            channel.executor().execute(writabilityTask);
+        }
         from.fireChannelWritabilityChanged();
     }
 
+    private void reportWritability() {
+        isWritabilityReportScheduled = false;
+        if (!channel.isRemoved()) {
+            context.emit(null, changed -> listener.writabilityChanged());
+        }
+    }
+
     @Override
     public void handlerRemoved(ChannelHandlerContext from) {
         releaseBatch();
--- a/gateway/src/main/java/opalcove/resp/ResponseStream.java
+++ b/gateway/src/main/java/opalcove/resp/ResponseStream.java
@@ -139,11 +139,6 @@
             countPending(-part.readableBytes());
             socket.write(part);
         }
-        // A write may make the socket unwritable, which is reported at once and re-enters this method. That call may
-        // have completed the response.
-        if (slot.isComplete()) {
-            return;
-        }
         if (pending.isEmpty() && value.isComplete()) {
             connection.pipeline().streamEnded(slot);
         } else {
--- a/gateway/src/test/java/opalcove/resp/RawSocketTest.java
+++ b/gateway/src/test/java/opalcove/resp/RawSocketTest.java
@@ -1,6 +1,7 @@
 package opalcove.resp;
 
 import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertFalse;
 import static org.testng.Assert.assertTrue;
 
 import io.netty.buffer.ByteBuf;
@@ -32,11 +33,15 @@
 
     private Vertx vertx;
     private final BlockingQueue<String> events = new LinkedBlockingQueue<>();
+    private final BlockingQueue<String> writabilityReports = new LinkedBlockingQueue<>();
+    /** Set on the event loop only, during the action of a test. */
+    private boolean isWriting;
 
     @BeforeMethod
     public void start() {
         vertx = Vertx.vertx(new VertxOptions().setEventLoopPoolSize(1));
         events.clear();
+        writabilityReports.clear();
     }
 
     @AfterMethod
@@ -64,6 +69,11 @@
                         public void writeFailed() {
                             events.add("write failed");
                         }
+
+                        @Override
+                        public void writabilityChanged() {
+                            writabilityReports.add(isWriting ? "from within a write" : "after the write");
+                        }
                     });
                     socket.closeHandler(closed -> events.add("closed"));
                 })
@@ -100,6 +110,26 @@
         }
     }
 
+    /** Guards whoever writes against a call of its own methods before it has updated its state. */
+    @Test
+    public void doesNotCallListenerFromWithinWrite() throws Exception {
+        byte[] part = new byte[100];
+        try (Socket socket = connect((raw, netSocket) -> {
+            raw.setMaxPendingBytes(part.length);
+            isWriting = true;
+            raw.write(Unpooled.copiedBuffer(part));
+            raw.write(Unpooled.copiedBuffer(part));
+            raw.reserve(part.length).writeBytes(part);
+            raw.writeLineEnd();
+            isWriting = false;
+        })) {
+            socket.getOutputStream().write(1);
+            assertEquals(socket.getInputStream().readNBytes(3 * part.length + 2).length, 3 * part.length + 2);
+            assertEquals(writabilityReports.poll(TIMEOUT_S, TimeUnit.SECONDS), "after the write");
+            assertFalse(writabilityReports.contains("from within a write"));
+        }
+    }
+
     /** Bytes that wait for the end of the turn are never sent, reported as failed once per part, and released. */
     @Test
     public void sendsNothingWhenClosedBeforeFlush() throws Exception {
