Commands that arrive at once are executed in turns, and their responses are bounded

Cause: (1) the decoder went on to the end of a read whatever had been paused, and each response of the gateway itself was made at once, unlimited; (2) an allocation that failed waited in the JDK for over a second on the event loop, for memory that only the end of that very turn releases, once for each connection with input. Change: the decoder stops behind any command; CommandScheduler shares a turn (128 commands of a connection, 256 in all); DeferredResponse keeps lines as text and makes INFO when it is written; what clients have not read is counted whole; Netty counts direct memory itself, so a failed allocation fails at once. RespSyntax takes two functions of RespDecoder, which had grown. Three tests send a full pipeline of 256 commands instead of 257: the 257th is no longer executed.

--- a/gateway/src/main/java/opalcove/lifecycle/Application.java
+++ b/gateway/src/main/java/opalcove/lifecycle/Application.java
@@ -26,6 +26,11 @@
  */
 public final class Application {
     /** The system property for the folder of Vert.x's file cache. */
+    /**
+     * Lets Netty use a constructor of the JDK, which the manifests of the programs open to it ({@code Add-Opens}).
+     */
+    private static final String REFLECTION_PROPERTY = "io.netty.tryReflectionSetAccessible";
+
     private static final String FILE_CACHE_PROPERTY = "vertx.cacheDirBase";
     /**
      * How long a load balancer may still send new connections after it was notified that this gateway leaves.
@@ -55,6 +60,11 @@
 
     static {
         LibraryLogging.install();
+        if (System.getProperty(REFLECTION_PROPERTY) == null) {
+            // Netty then counts direct memory itself, and an allocation over the limit fails at once. One by the JDK
+            // first waits for up to half a second for others to release memory, which only this event loop could do.
+            System.setProperty(REFLECTION_PROPERTY, "true");
+        }
         // Vert.x computes a name for its file cache even if that is off. Setting the property avoids the computation,
         // whose string concatenation, the first one of the process, is slow at a start.
         if (System.getProperty(FILE_CACHE_PROPERTY) == null) {
--- a/gateway/src/main/java/opalcove/resp/ClientConnection.java
+++ b/gateway/src/main/java/opalcove/resp/ClientConnection.java
@@ -36,6 +36,9 @@
     private final ResponsePipeline pipeline;
     private final ConnectionInput input;
     private final InputMemory memory;
+    private final CommandScheduler.Share turnShare = new CommandScheduler.Share();
+    /** Reading is paused until half of the pipelined commands have their responses. */
+    private boolean isPipelineFull;
     /** The written bytes that the client does not read and that the memory budget counts. */
     private int unsentBytes;
 
@@ -97,7 +100,7 @@
 
     /** Whether commands on this connection await their responses. */
     boolean hasOpenCommands() {
-        return !pipeline.isEmpty();
+        return pipeline.hasOpenCommands();
     }
 
     /** Whether input that arrives from now on is no longer executed. */
@@ -115,7 +118,7 @@
 
     /** Whether no other command that was read on this connection awaits execution or its response. */
     boolean isOnlyCommandRead(PipelineSlot slot) {
-        return pipeline.isOnly(slot) && !input.hasBuffered();
+        return pipeline.isOnly(slot) && !input.hasUndecoded();
     }
 
     /** Closes the connection after all responses have been written. */
@@ -184,7 +187,7 @@
 
     private void continueInput(Runnable continueDecoder) {
         try {
-            input.decodeBlocked(continueDecoder);
+            input.continueDecoder(continueDecoder);
             resumeIfDrained();
         } catch (OutOfMemoryError e) {
             allocationFailed(e);
@@ -195,6 +198,13 @@
     public void valueDecoded(RespDecoder command) {
         lastUsedNanos = System.nanoTime();
         PipelineSlot slot = pipeline.add();
+        execute(command, slot);
+        if (!isClosing) {
+            pauseIfLimited();
+        }
+    }
+
+    private void execute(RespDecoder command, PipelineSlot slot) {
         if (command.hasSkippedString()) {
             server.dispatcher().refuse(memory.takeRefusedClass(), slot, ShedReason.NO_MEMORY);
             return;
@@ -206,10 +216,23 @@
         }
         server.commands().execute(command, slot);
         memory.commandExecuted();
-        if (pipeline.size() >= MAX_PIPELINED || !socket.isWritable()) {
-            // Guards memory against a client that keeps sending commands and does not read the responses.
+    }
+
+    /**
+     * Stops decoding and reading behind a command if no further one may be executed now. Guards memory against a client
+     * that keeps sending commands or does not read the responses, and other clients against one that takes all of a
+     * turn.
+     */
+    private void pauseIfLimited() {
+        boolean hasUsedShare = !server.scheduler().commandExecuted(turnShare);
+        isPipelineFull |= pipeline.size() >= MAX_PIPELINED;
+        if (hasUsedShare || isPipelineFull || !socket.isWritable()) {
+            decoder.pause();
             input.pause();
         }
+        if (hasUsedShare) {
+            server.scheduler().continueLater(turnShare, this::resumeIfDrained);
+        }
     }
 
     /**
@@ -242,25 +265,51 @@
         resumeIfDrained();
     }
 
-    /** Counts what the client does not read, as far as it is more than may wait on any connection. */
-    private void countUnsent() {
-        int unsentNow = socket.isWritable() || !socket.isOpen() ? 0 : socket.pendingBytes();
-        server.memory().recharge(unsentBytes, unsentNow);
-        unsentBytes = unsentNow;
+    /** Counts what the client does not read. */
+    void countUnsent() {
+        int unsentNow = socket.isOpen() ? socket.pendingBytes() : 0;
+        if (unsentNow < unsentBytes) {
+            // The client reads.
+            lastUsedNanos = System.nanoTime();
+        }
+        if (unsentNow != unsentBytes) {
+            server.memory().recharge(unsentBytes, unsentNow);
+            unsentBytes = unsentNow;
+        }
+    }
+
+    @Override
+    public void flushed() {
+        countUnsent();
     }
 
     @Override
-    public void writabilityChanged() {
+    public void becameWritable() {
         countUnsent();
-        pipeline.continueFirstStream();
+        if (pipeline.writeDeferred()) {
+            pipeline.advanceFirstStream();
+            closeIfNoResponseIsDue();
+        } else {
+            pipeline.continueFirstStream();
+        }
         resumeIfDrained();
     }
 
-    /** Resumes reading if nothing speaks against it any more. */
+    /** Resumes decoding, and reading unless it is paused for an error, if nothing speaks against it any more. */
     void resumeIfDrained() {
-        boolean isDrained = pipeline.size() < MAX_PIPELINED / 2 && socket.isWritable();
-        if (input.isPaused() && !isPausedForError && !isClosing && isDrained && !memory.isWaiting()) {
-            input.resume();
+        isPipelineFull &= pipeline.size() >= MAX_PIPELINED / 2;
+        boolean isLimited = turnShare.isWaiting() || isPipelineFull || memory.isWaiting() || !socket.isWritable();
+        if (isClosing || isLimited || !input.isPaused()) {
+            return;
+        }
+        try {
+            if (isPausedForError) {
+                input.resumeDecoder();
+            } else {
+                input.resume();
+            }
+        } catch (OutOfMemoryError e) {
+            allocationFailed(e);
         }
     }
 
@@ -301,6 +350,22 @@
         return true;
     }
 
+    /**
+     * Closes a connection whose client has read nothing for the idle timeout, although all responses that are due are
+     * complete. Guards memory and descriptors against clients that never read.
+     *
+     * @return whether the connection is closed
+     */
+    boolean endIfUnread() {
+        boolean isUnread = !pipeline.isEmpty() && !pipeline.hasOpenCommands();
+        if (!isUnread || System.nanoTime() - lastUsedNanos < STALL_NANOS) {
+            return false;
+        }
+        beginHalfClose(isClosing ? closeReason : ConnectionCloseReason.IDLE);
+        pipeline.cancelAll();
+        return true;
+    }
+
     /** Reports a protocol error and closes the connection after the responses that are due. */
     @Override
     public void decodingFailed(String reason) {
@@ -336,7 +401,7 @@
         // client has stalled.
         boolean isProgressing = decoder.isBlocked() || System.nanoTime() - lastReadNanos < STALL_NANOS;
         boolean isArriving = decoder.isMidValue() && isProgressing;
-        boolean isIdle = pipeline.isEmpty() && !isClosing && !isArriving;
+        boolean isIdle = pipeline.isEmpty() && !isClosing && !isArriving && !turnShare.isWaiting();
         if (isIdle) {
             beginHalfClose(reason);
         }
--- a/gateway/src/main/java/opalcove/resp/CommandHandler.java
+++ b/gateway/src/main/java/opalcove/resp/CommandHandler.java
@@ -33,6 +33,11 @@
         return hasOnlyStrings;
     }
 
+    /** Whether the command, which may have been decoded only in part, is a PING. */
+    static boolean isPing(RespDecoder command) {
+        return command.isString(0) && RequestDecoder.isNamed(command, "PING");
+    }
+
     /** Executes one command; its response may be written at once or later. */
     void execute(RespDecoder command, PipelineSlot slot) {
         if (RequestDecoder.isRequest(command)) {
@@ -81,7 +86,8 @@
             }
             case "CLIENT", "SELECT" -> pipeline.writeLine(slot, "+OK");
             case "INFO" ->
-                pipeline.writeValue(slot, Unpooled.copiedBuffer(dispatcher.infoLines(), StandardCharsets.US_ASCII));
+                pipeline.writeOwnValue(
+                        slot, () -> Unpooled.copiedBuffer(dispatcher.infoLines(), StandardCharsets.US_ASCII));
             default -> pipeline.writeLine(slot, "-ERR unknown command");
         }
     }
--- /dev/null
+++ b/gateway/src/main/java/opalcove/resp/CommandScheduler.java
@@ -0,0 +1,103 @@
+package opalcove.resp;
+
+import io.netty.channel.EventLoop;
+import io.vertx.core.Vertx;
+import io.vertx.core.internal.ContextInternal;
+import java.util.ArrayDeque;
+import java.util.Deque;
+import java.util.concurrent.TimeUnit;
+import java.util.function.LongSupplier;
+import opalcove.lifecycle.Application;
+
+/**
+ * Limits the commands that one turn of the event loop executes, for each connection and for all of them. Guards other
+ * clients, timers and backends against waiting for a client that sends commands at full speed. A connection that has
+ * used its share stops decoding and continues in a later turn, in the order of the requests to continue. Owned by the
+ * event loop of the connections.
+ */
+final class CommandScheduler {
+    /** The maximum number of commands of one connection in a turn. */
+    static final int MAX_CONNECTION_COMMANDS = 128;
+    /** The number of commands of all connections in a turn after which each connection stops at its next command. */
+    private static final int MAX_TURN_COMMANDS = 256;
+
+    /** The share of one connection in the current turn. Owned by the connection. */
+    static final class Share {
+        private long turn;
+        private int commands;
+        private boolean isWaiting;
+
+        /** Whether the connection waits for a later turn. */
+        boolean isWaiting() {
+            return isWaiting;
+        }
+    }
+
+    private record Continuation(Share share, Runnable action) {}
+
+    private final EventLoop eventLoop;
+    /** Changes in each turn of the event loop, after its reads. */
+    private final LongSupplier turnId;
+
+    private final Deque<Continuation> waiting = new ArrayDeque<>();
+    private boolean isScheduled;
+    private long turn;
+    private int turnCommands;
+
+    /** To be called on the event loop of the connections. */
+    CommandScheduler(Vertx vertx) {
+        eventLoop = ((ContextInternal) vertx.getOrCreateContext()).nettyEventLoop();
+        turnId = Application.readUpTo(vertx);
+    }
+
+    /** Counts an executed command; returns whether the connection may execute another one in this turn. */
+    boolean commandExecuted(Share share) {
+        enterTurn();
+        if (share.turn != turn) {
+            share.turn = turn;
+            share.commands = 0;
+        }
+        share.commands++;
+        turnCommands++;
+        return share.commands < MAX_CONNECTION_COMMANDS && turnCommands < MAX_TURN_COMMANDS;
+    }
+
+    private void enterTurn() {
+        long now = turnId.getAsLong();
+        if (now != turn) {
+            turn = now;
+            turnCommands = 0;
+        }
+    }
+
+    /** Runs the action in a later turn, after the sockets have been read, unless this connection waits already. */
+    void continueLater(Share share, Runnable action) {
+        if (!share.isWaiting) {
+            share.isWaiting = true;
+            waiting.add(new Continuation(share, action));
+            schedule();
+        }
+    }
+
+    private void schedule() {
+        if (!isScheduled) {
+            isScheduled = true;
+            // A task without a delay would run in this turn, before any socket is read again.
+            eventLoop.schedule(this::continueWaiting, 0, TimeUnit.NANOSECONDS);
+        }
+    }
+
+    /** Continues connections until the commands of this turn are used up; each connection once. */
+    private void continueWaiting() {
+        isScheduled = false;
+        enterTurn();
+        for (int remaining = waiting.size(); remaining > 0 && turnCommands < MAX_TURN_COMMANDS; remaining--) {
+            Continuation next = waiting.poll();
+            next.share.isWaiting = false;
+            next.action.run();
+        }
+        if (!waiting.isEmpty()) {
+            schedule();
+        }
+    }
+}
--- a/gateway/src/main/java/opalcove/resp/ConnectionInput.java
+++ b/gateway/src/main/java/opalcove/resp/ConnectionInput.java
@@ -93,7 +93,7 @@
         isMoreUnread = !bytes.isWritable();
         readCount++;
         readToEndIfStale(since);
-        if (!isDecoding && !decoder.isBlocked() && (!isPaused || decodesAll || isEnded)) {
+        if (!isDecoding && !decoder.isWaiting() && (!isPaused || decodesAll || isEnded)) {
             unreadSince = since;
             decode(bytes);
             return;
@@ -111,7 +111,7 @@
     }
 
     private void countUndecoded() {
-        int undecodedNow = (buffered == null ? 0 : buffered.capacity()) + decoder.blockedBytes();
+        int undecodedNow = (buffered == null ? 0 : buffered.capacity()) + decoder.undecodedBytes();
         detector.addBuffered(undecodedNow - undecodedBytes);
         undecodedBytes = undecodedNow;
     }
@@ -166,8 +166,19 @@
         decodeBufferedIfAllowed();
     }
 
-    /** Continues decoding that waited for memory, with or without it, by this call of the decoder. */
-    void decodeBlocked(Runnable continueDecoder) {
+    /** Continues decoding that was paused with bytes of the last read undecoded, although reading may stay paused. */
+    void resumeDecoder() {
+        if (decoder.isPaused()) {
+            continueDecoder(decoder::resume);
+        }
+    }
+
+    /** Continues decoding that was paused or waited for memory, with or without it, by this call of the decoder. */
+    void continueDecoder(Runnable continueDecoder) {
+        if (isDecoding) {
+            continueDecoder.run();
+            return;
+        }
         isDecoding = true;
         try {
             continueDecoder.run();
@@ -190,7 +201,7 @@
 
     private void decodeBuffered() {
         ByteBuf bytes = buffered;
-        if (bytes != null && !isDecoding && !decoder.isBlocked()) {
+        if (bytes != null && !isDecoding && !decoder.isWaiting()) {
             buffered = null;
             unreadSince = bufferedSince;
             decode(bytes);
@@ -207,8 +218,8 @@
     }
 
     /** Whether bytes were read and not decoded. */
-    boolean hasBuffered() {
-        return buffered != null;
+    boolean hasUndecoded() {
+        return buffered != null || decoder.undecodedBytes() > 0;
     }
 
     /**
@@ -265,12 +276,15 @@
      * has disconnected meanwhile: they are dropped with the connection.
      */
     void resume() {
-        if (buffered != null && !isConnected()) {
+        if (hasUndecoded() && !isConnected()) {
             return;
         }
         isPaused = false;
         detector.removePaused(this);
-        decodeBuffered();
+        resumeDecoder();
+        if (!isPaused) {
+            decodeBuffered();
+        }
         // A buffered command may have paused decoding again.
         if (!isPaused) {
             readAgain();
@@ -280,8 +294,9 @@
     /** Decodes all input that is unread now, even while paused. Must not be called within a read of this connection. */
     void decodeUnread() {
         decodesAll = true;
+        resumeDecoder();
         decodeBuffered();
-        if (!isSuspended && !decoder.isBlocked()) {
+        if (!isSuspended && !decoder.isWaiting()) {
             socket.readNow();
         }
         decodesAll = false;
--- a/gateway/src/main/java/opalcove/resp/DisconnectDetector.java
+++ b/gateway/src/main/java/opalcove/resp/DisconnectDetector.java
@@ -27,12 +27,14 @@
     private final LongSupplier unreadSince;
     private final Set<ConnectionInput> paused = new HashSet<>();
     private boolean isPollScheduled;
+    private final MemoryBudget memory;
     private final int maxBufferedBytes = MemoryBudget.maxPolledBytes();
     private int bufferedBytes;
 
     /** To be called on the event loop of the connections. */
-    DisconnectDetector(Vertx vertx) {
+    DisconnectDetector(Vertx vertx, MemoryBudget memory) {
         this.vertx = vertx;
+        this.memory = memory;
         readUpTo = Application.readUpTo(vertx);
         unreadSince = Application.unreadSince(vertx);
     }
@@ -82,6 +84,7 @@
     /** Counts buffered bytes; a negative number counts bytes that are buffered no longer. */
     void addBuffered(int bytes) {
         bufferedBytes += bytes;
+        memory.addUndecoded(bytes);
     }
 
     private void schedulePoll() {
--- a/gateway/src/main/java/opalcove/resp/InputMemory.java
+++ b/gateway/src/main/java/opalcove/resp/InputMemory.java
@@ -36,9 +36,12 @@
         return reservation.isWaiting();
     }
 
-    /** Whether even the body of a short request has to wait for memory. */
+    /** Whether even the body of a short request, or the text that a short command repeats, has to wait for memory. */
     boolean reservesShortString(RespDecoder command) {
-        return command.decodedItemCount() == RequestDecoder.BODY && budget.isExhausted(MemoryBudget.Use.SHORT_REQUEST);
+        int decodedItems = command.decodedItemCount();
+        return (decodedItems == RequestDecoder.BODY || decodedItems == 1)
+                && budget.isExhausted(MemoryBudget.Use.SHORT_REQUEST)
+                && (decodedItems != 1 || CommandHandler.isPing(command));
     }
 
     /** Decides on the memory of a string of the command that is arriving. */
--- a/gateway/src/main/java/opalcove/resp/MemoryBudget.java
+++ b/gateway/src/main/java/opalcove/resp/MemoryBudget.java
@@ -101,6 +101,9 @@
     private final Executor executor;
     private final Deque<Waiter> waiters = new ArrayDeque<>();
     private long usedBytes;
+    /** The bytes that were read and wait to be decoded. They are limited by the size of reads, not by reservations. */
+    private long undecodedBytes;
+
     private boolean areGrantsScheduled;
     private Consumer<OutOfMemoryError> allocationFailureListener = failure -> {};
     private long lastLoggedNanos = System.nanoTime() - LOG_INTERVAL_NANOS;
@@ -196,6 +199,11 @@
         return !fits(use, 1);
     }
 
+    /** Counts bytes that wait to be decoded; a negative number counts bytes that have been. */
+    void addUndecoded(int bytes) {
+        undecodedBytes += bytes;
+    }
+
     long usedBytes() {
         return usedBytes;
     }
@@ -206,7 +214,7 @@
 
     /** Returns the maximum size of a read now, bytes. */
     int maxReadBytes() {
-        return usedBytes < limit(Use.REQUEST) / 2 ? Integer.MAX_VALUE : SCARCE_READ_BYTES;
+        return usedBytes + undecodedBytes < limit(Use.REQUEST) / 2 ? Integer.MAX_VALUE : SCARCE_READ_BYTES;
     }
 
     private long limit(Use use) {
--- a/gateway/src/main/java/opalcove/resp/OpenConnections.java
+++ b/gateway/src/main/java/opalcove/resp/OpenConnections.java
@@ -59,7 +59,9 @@
         long timeoutMs = drain.isActive() ? DRAIN_IDLE_TIMEOUT_MS : IDLE_TIMEOUT_MS;
         long idleSinceNanos = System.nanoTime() - TimeUnit.MILLISECONDS.toNanos(timeoutMs);
         for (ClientConnection each : List.copyOf(connections)) {
-            if (!each.endIfStalled() && !each.hasOpenCommands() && each.lastUsedNanos() - idleSinceNanos < 0) {
+            each.countUnsent();
+            boolean hasEnded = each.endIfStalled() || each.endIfUnread();
+            if (!hasEnded && !each.hasOpenCommands() && each.lastUsedNanos() - idleSinceNanos < 0) {
                 each.closeIfIdle(drain.isActive() ? ConnectionCloseReason.DRAINED : ConnectionCloseReason.IDLE);
             }
         }
--- a/gateway/src/main/java/opalcove/resp/PipelineSlot.java
+++ b/gateway/src/main/java/opalcove/resp/PipelineSlot.java
@@ -15,10 +15,8 @@
     private ByteBuf body;
 
     private boolean isComplete;
-    /** The encoded response while earlier responses are due; null if there is none. */
-    private ByteBuf deferred;
-
-    private int deferredBytes;
+    /** The response while earlier ones are due; null if there is none. */
+    private DeferredResponse deferred;
     /** The response if it is a streamed value; null otherwise. */
     private ResponseStream stream;
 
@@ -59,18 +57,20 @@
         request = null;
     }
 
-    /** Defers an encoded response until the earlier ones are written; the slot takes ownership of the buffer. */
-    void defer(ByteBuf response) {
+    /** Defers the response until the earlier ones are written. */
+    void defer(DeferredResponse response) {
         deferred = response;
-        deferredBytes = response.readableBytes();
-        connection.server().memory().charge(deferredBytes);
     }
 
-    /** Returns the deferred response and passes the ownership of its buffer to the caller. */
-    ByteBuf takeDeferred() {
-        ByteBuf response = deferred;
+    /** Returns the deferred response. */
+    DeferredResponse deferred() {
+        return deferred;
+    }
+
+    /** Returns the deferred response, which the caller writes. */
+    DeferredResponse takeDeferred() {
+        DeferredResponse response = deferred;
         deferred = null;
-        connection.server().memory().release(deferredBytes);
         return response;
     }
 
@@ -113,7 +113,7 @@
     /** Releases the buffers of a response that will not be written. */
     void discard() {
         if (deferred != null) {
-            takeDeferred().release();
+            takeDeferred().discard();
         }
         if (stream != null) {
             stream.discard();
--- a/gateway/src/main/java/opalcove/resp/RawSocket.java
+++ b/gateway/src/main/java/opalcove/resp/RawSocket.java
@@ -44,10 +44,10 @@
         default void readsCompleted() {}
 
         /**
-         * Called after the socket has become writable or unwritable, later in the same turn and never from within a
-         * write; by then the socket may have changed again.
+         * Called after the socket has become writable again, never from within a write or a close; by then it may have
+         * become unwritable once more.
          */
-        default void writabilityChanged() {}
+        default void becameWritable() {}
 
         /**
          * Called at the end of a turn, right before the bytes written in it are flushed.
@@ -58,6 +58,9 @@
             return true;
         }
 
+        /** Called after the bytes written in one turn were passed to the system, as far as it took them. */
+        default void flushed() {}
+
         /**
          * Called when written bytes were not sent and never will be, possibly from within the write; the listener may
          * only record it.
@@ -74,6 +77,7 @@
     private final long waitingSince;
     private ByteBuf batch;
     private boolean isFlushScheduled;
+    private boolean isFlushing;
     private boolean isWritabilityReportScheduled;
 
     /**
@@ -113,19 +117,23 @@
 
     @Override
     public void channelWritabilityChanged(ChannelHandlerContext from) {
-        if (!isWritabilityReportScheduled) {
+        if (isWritable() && !isWritabilityReportScheduled) {
             isWritabilityReportScheduled = true;
-            // Guards whoever writes: a write can make the socket unwritable, and its caller has not updated its own
-            // state yet.
-            channel.executor().execute(writabilityTask);
+            // Guards whoever writes or closes: the flush within it can make the socket writable, and its caller has not
+            // updated its own state yet. The flush at the end of a turn has no such caller, and reports by itself.
+            if (!isFlushing) {
+                channel.executor().execute(writabilityTask);
+            }
         }
         from.fireChannelWritabilityChanged();
     }
 
     private void reportWritability() {
-        isWritabilityReportScheduled = false;
-        if (!channel.isRemoved()) {
-            context.emit(null, changed -> listener.writabilityChanged());
+        if (isWritabilityReportScheduled) {
+            isWritabilityReportScheduled = false;
+            if (!channel.isRemoved()) {
+                context.emit(null, changed -> listener.becameWritable());
+            }
         }
     }
 
@@ -229,7 +237,11 @@
             closeAndDiscard();
         } else {
             writeBatch();
+            isFlushing = true;
             channel.flush();
+            isFlushing = false;
+            listener.flushed();
+            reportWritability();
         }
     }
 
--- a/gateway/src/main/java/opalcove/resp/RequestDecoder.java
+++ b/gateway/src/main/java/opalcove/resp/RequestDecoder.java
@@ -45,7 +45,8 @@
         return isNamed(command, QUERY) || isNamed(command, SUBMIT);
     }
 
-    private static boolean isNamed(RespDecoder command, String name) {
+    /** Whether this is the command's name, compared case-insensitively. */
+    static boolean isNamed(RespDecoder command, String name) {
         boolean same = command.length(0) == name.length();
         for (int i = 0; same && i < name.length(); i++) {
             same = Character.toUpperCase(command.byteAt(0, i)) == name.charAt(i);
--- a/gateway/src/main/java/opalcove/resp/RespDecoder.java
+++ b/gateway/src/main/java/opalcove/resp/RespDecoder.java
@@ -48,6 +48,8 @@
     private boolean isSkipping;
     /** Decoding waits for memory for the string whose length is {@link #bulkLength}. */
     private boolean isBlocked;
+    /** Decoding has stopped behind a value; further bytes of the same read may be in the buffer. */
+    private boolean isPaused;
     /** The length of the string for which memory was reserved, or 0. */
     private int reservedLength;
 
@@ -103,6 +105,29 @@
         }
     }
 
+    /** Stops decoding behind the value that is being delivered; to be called by the listener. */
+    void pause() {
+        isPaused = true;
+    }
+
+    /** Whether decoding has stopped behind a value; the caller keeps further bytes until it has resumed. */
+    boolean isPaused() {
+        return isPaused;
+    }
+
+    /** Continues decoding behind the last value. */
+    void resume() {
+        isPaused = false;
+        if (!isParsing) {
+            parseBuffered(null);
+        }
+    }
+
+    /** Whether the caller has to keep further bytes: decoding waits for memory, or is paused. */
+    boolean isWaiting() {
+        return isBlocked || isPaused;
+    }
+
     /** Whether decoding waits for memory; the caller keeps further bytes until it has continued or skipped. */
     boolean isBlocked() {
         return isBlocked;
@@ -136,9 +161,9 @@
         return isSkipping;
     }
 
-    /** Returns the size of the buffer that is held while decoding waits for memory; 0 if it does not wait. */
-    int blockedBytes() {
-        return isBlocked ? buffer.capacity() : 0;
+    /** Returns the size of the buffer that is held while decoding waits or is paused; 0 if it does not wait. */
+    int undecodedBytes() {
+        return isWaiting() && buffer != null ? buffer.capacity() : 0;
     }
 
     /** Returns how many bytes of the string that is being received or skipped are missing; 0 if there is none. */
@@ -154,15 +179,16 @@
         return count;
     }
 
-    /** Whether a value has been received only in part. */
+    /** Whether a value has been received only in part. What lies behind a pause does not count. */
     boolean isMidValue() {
-        return buffer != null;
+        return buffer != null && !isPaused;
     }
 
     /** Stops decoding and releases the buffered bytes. */
     void stop() {
         isStopped = true;
         isBlocked = false;
+        isPaused = false;
         if (!isParsing) {
             release();
         }
@@ -267,7 +293,7 @@
     }
 
     private void parse() {
-        while (!isStopped && !isBlocked && buffer != null) {
+        while (!isStopped && !isWaiting() && buffer != null) {
             if (position - buffer.readerIndex() > reservedLength + MAX_UNRESERVED_VALUE_BYTES) {
                 fail("too long a value");
             } else if (streamedRemaining >= 0) {
@@ -280,8 +306,9 @@
                 }
                 parseString();
             } else {
-                int end = findLineEnd();
+                int end = RespSyntax.findLineEnd(buffer, searchFrom, position);
                 if (end < 0) {
+                    searchFrom = buffer.writerIndex();
                     if (buffer.writerIndex() - position > MAX_LINE_BYTES) {
                         // Guards memory against a line that never ends.
                         fail("too long a line");
@@ -293,20 +320,6 @@
         }
     }
 
-    /** Returns the index of the line's end, which is \r\n, or -1 if it has not arrived. */
-    private int findLineEnd() {
-        int end = buffer.writerIndex();
-        for (int lineFeed = buffer.indexOf(searchFrom, end, (byte) '\n');
-                lineFeed >= 0;
-                lineFeed = buffer.indexOf(lineFeed + 1, end, (byte) '\n')) {
-            if (lineFeed > position && buffer.getByte(lineFeed - 1) == '\r') {
-                return lineFeed - 1;
-            }
-        }
-        searchFrom = end;
-        return -1;
-    }
-
     /** Continues a streamed string; returns false if more of it has to arrive, or decoding has stopped. */
     private boolean continueStream() {
         if (streamedRemaining > 0) {
@@ -413,21 +426,12 @@
 
     /** Parses a length, -1 for null; any other value outside the range from 0 to max is an error. */
     private int parseLength(int from, int to, int max) {
-        if (to - from == 2 && buffer.getByte(from) == '-' && buffer.getByte(from + 1) == '1') {
-            return -1;
-        }
-        int number = 0;
-        boolean isNumber = to > from && to - from <= 9;
-        for (int i = from; isNumber && i < to; i++) {
-            int digit = buffer.getByte(i) - '0';
-            isNumber = digit >= 0 && digit <= 9;
-            number = number * 10 + digit;
-        }
-        if (!isNumber || number > max) {
-            fail("a length must be a number from 0 to " + max);
-            return -1;
+        int length = RespSyntax.parseLength(buffer, from, to, max);
+        if (length != RespSyntax.INVALID_LENGTH) {
+            return length;
         }
-        return number;
+        fail("a length must be a number from 0 to " + max);
+        return RespSyntax.NULL_LENGTH;
     }
 
     private void addItem(byte itemType, int start, int length) {
--- a/gateway/src/main/java/opalcove/resp/RespWriter.java
+++ b/gateway/src/main/java/opalcove/resp/RespWriter.java
@@ -33,6 +33,14 @@
         writeLineEnd(out);
     }
 
+    /** Writes a value as a bulk string; the value keeps its reader index. */
+    static void writeValue(ByteBuf out, ByteBuf value) {
+        int length = value.readableBytes();
+        writeHeader(out, '$', length);
+        out.writeBytes(value, value.readerIndex(), length);
+        writeLineEnd(out);
+    }
+
     /** Writes a line of ASCII text that begins with its type. */
     static void writeLine(ByteBuf out, String text) {
         ByteBufUtil.writeAscii(out, text);
--- a/gateway/src/main/java/opalcove/resp/ResponsePipeline.java
+++ b/gateway/src/main/java/opalcove/resp/ResponsePipeline.java
@@ -3,6 +3,7 @@
 import io.netty.buffer.ByteBuf;
 import java.util.ArrayDeque;
 import java.util.Deque;
+import java.util.function.Supplier;
 import opalcove.core.Response;
 
 /**
@@ -13,6 +14,8 @@
     private final Deque<PipelineSlot> slots = new ArrayDeque<>(4);
     private final ClientConnection connection;
     private final RawSocket socket;
+    /** The number of commands whose responses are not complete. */
+    private int openCount;
 
     ResponsePipeline(ClientConnection connection, RawSocket socket) {
         this.connection = connection;
@@ -23,6 +26,7 @@
     PipelineSlot add() {
         PipelineSlot slot = new PipelineSlot(connection);
         slots.add(slot);
+        openCount++;
         return slot;
     }
 
@@ -34,6 +38,11 @@
         return slots.isEmpty();
     }
 
+    /** Whether a response is not complete. One that is only waits for the client to read. */
+    boolean hasOpenCommands() {
+        return openCount > 0;
+    }
+
     boolean isFirst(PipelineSlot slot) {
         return slots.peek() == slot;
     }
@@ -58,11 +67,11 @@
     void writeValue(PipelineSlot slot, ByteBuf value) {
         int length = value.readableBytes();
         if (!isFirst(slot)) {
-            ByteBuf deferred = socket.allocate(length + RespWriter.MAX_HEADER_BYTES);
-            writeValue(deferred, value, length);
-            slot.defer(deferred);
+            ByteBuf encoded = socket.allocate(length + RespWriter.MAX_HEADER_BYTES);
+            RespWriter.writeValue(encoded, value);
+            slot.defer(new DeferredResponse.Encoded(encoded, connection.server().memory()));
         } else if (length < RespWriter.MIN_FORWARDED_BYTES) {
-            writeValue(socket.reserve(length + RespWriter.MAX_HEADER_BYTES), value, length);
+            RespWriter.writeValue(socket.reserve(length + RespWriter.MAX_HEADER_BYTES), value);
         } else {
             RespWriter.writeHeader(socket.reserve(RespWriter.MAX_HEADER_BYTES), '$', length);
             socket.write(socket.compact(value.retainedSlice()));
@@ -71,24 +80,29 @@
         complete(slot);
     }
 
-    private static void writeValue(ByteBuf out, ByteBuf value, int length) {
-        RespWriter.writeHeader(out, '$', length);
-        out.writeBytes(value, value.readerIndex(), length);
-        RespWriter.writeLineEnd(out);
-    }
-
     /** Writes a line that begins with its type, or defers it until the earlier responses are written. */
     void writeLine(PipelineSlot slot, String text) {
         if (isFirst(slot)) {
             RespWriter.writeLine(socket.reserve(text.length() + 2), text);
         } else {
-            ByteBuf deferred = socket.allocate(text.length() + 2);
-            RespWriter.writeLine(deferred, text);
-            slot.defer(deferred);
+            slot.defer(new DeferredResponse.Line(text));
         }
         complete(slot);
     }
 
+    /**
+     * Writes a value that this gateway makes, or defers it until the earlier responses are written and the client reads
+     * them. Guards memory against a client that sends many commands: such values are made one after the other.
+     */
+    void writeOwnValue(PipelineSlot slot, Supplier<ByteBuf> value) {
+        if (isFirst(slot)) {
+            writeValue(slot, value.get());
+        } else {
+            slot.defer(new DeferredResponse.OwnValue(value));
+            complete(slot);
+        }
+    }
+
     /** Completes the streamed value of the first slot, of which only the line end is not written yet. */
     void streamEnded(PipelineSlot slot) {
         socket.writeLineEnd();
@@ -98,16 +112,33 @@
     /** Marks the response as complete; if it is the first, writes the deferred responses behind it. */
     private void complete(PipelineSlot slot) {
         slot.complete();
+        openCount--;
         if (!isFirst(slot)) {
             return;
         }
         slots.poll();
-        while (!slots.isEmpty() && slots.peek().isComplete()) {
-            socket.write(slots.poll().takeDeferred());
-        }
+        writeDeferred();
         connection.responsesWritten(slot);
     }
 
+    /**
+     * Writes the complete responses at the head, except a value that is yet to be made for a client that does not read.
+     *
+     * @return whether any was written
+     */
+    boolean writeDeferred() {
+        boolean hasWritten = false;
+        for (PipelineSlot next = slots.peek(); next != null && next.isComplete(); next = slots.peek()) {
+            if (next.deferred().waitsForClient() && !socket.isWritable()) {
+                break;
+            }
+            slots.poll();
+            next.takeDeferred().writeTo(socket);
+            hasWritten = true;
+        }
+        return hasWritten;
+    }
+
     /** Continues the streamed value of the first slot, if there is one. */
     void advanceFirstStream() {
         PipelineSlot first = slots.peek();
@@ -136,14 +167,21 @@
 
     /** Removes the first slot, whose response cannot be completed, and returns the number of commands behind it. */
     int removeFirst() {
-        slots.poll().discard();
+        forget(slots.poll());
         return slots.size();
     }
 
+    private void forget(PipelineSlot slot) {
+        if (!slot.isComplete()) {
+            openCount--;
+        }
+        slot.discard();
+    }
+
     /** Removes all slots and cancels their requests, as the client has disconnected. */
     void cancelAll() {
         for (PipelineSlot slot = slots.poll(); slot != null; slot = slots.poll()) {
-            slot.discard();
+            forget(slot);
             if (slot.request() != null) {
                 slot.request().clientDisconnected();
             }
--- a/gateway/src/main/java/opalcove/resp/ServerContext.java
+++ b/gateway/src/main/java/opalcove/resp/ServerContext.java
@@ -14,6 +14,7 @@
         RequestDispatcher dispatcher,
         DrainState drain,
         CommandHandler commands,
+        CommandScheduler scheduler,
         DisconnectDetector disconnects,
         BufferBudget streamBudget,
         MemoryBudget memory,
--- a/gateway/src/test/java/opalcove/resp/DisconnectedClientTest.java
+++ b/gateway/src/test/java/opalcove/resp/DisconnectedClientTest.java
@@ -152,7 +152,7 @@
                 connection.sendValue("value");
             }
             assertEquals(RespTestBed.readReply(client), "value");
-            for (int i = 0; i < MAX_PIPELINED - 1; i++) {
+            for (int i = 0; i < MAX_PIPELINED - 2; i++) {
                 assertEquals(RespTestBed.readReply(client), "+PONG");
             }
             assertEquals(RespTestBed.readReply(client), "value");
@@ -166,7 +166,7 @@
     /** Two requests with PINGs between them, so many commands that the connection is not read after them. */
     private static String fullPipeline() {
         return RespTestBed.query(1, TIMEOUT_MS)
-                + RespTestBed.PING.repeat(MAX_PIPELINED - 1)
+                + RespTestBed.PING.repeat(MAX_PIPELINED - 2)
                 + RespTestBed.query(2, TIMEOUT_MS);
     }
 
--- a/gateway/src/test/java/opalcove/resp/RawSocketTest.java
+++ b/gateway/src/test/java/opalcove/resp/RawSocketTest.java
@@ -71,7 +71,7 @@
                         }
 
                         @Override
-                        public void writabilityChanged() {
+                        public void becameWritable() {
                             writabilityReports.add(isWriting ? "from within a write" : "after the write");
                         }
                     });
--- a/gateway/src/test/java/opalcove/resp/RequestMemoryTest.java
+++ b/gateway/src/test/java/opalcove/resp/RequestMemoryTest.java
@@ -175,6 +175,28 @@
         }
     }
 
+    /** Guards memory against responses of the gateway itself that wait for an earlier response: they are made later. */
+    @Test
+    public void holdsNoMemoryForOwnResponsesBehindOpenRequest() throws Exception {
+        try (Gateway gateway = new Gateway()) {
+            int commands = 200;
+            Socket client = gateway.testBed.connectClient();
+            RespTestBed.send(
+                    client, query(0) + RespTestBed.encodeCommand("INFO").repeat(commands) + query(1));
+            Arrived first = gateway.take();
+            gateway.serve(1);
+            gateway.testBed.awaitCounter("attempts_served", 1);
+            assertTrue(
+                    gateway.testBed.onLoop(gateway.testBed.memory::usedBytes) < RespTestBed.PING.length() * commands);
+            first.peer.sendValue("first");
+            assertEquals(RespTestBed.readReply(client), "first");
+            for (int i = 0; i < commands; i++) {
+                assertTrue(RespTestBed.readReply(client).contains("taken=2"), "response " + i);
+            }
+            assertEquals(RespTestBed.readReply(client), "value");
+        }
+    }
+
     /** Encodes a request of a tenant of its own, so that no quota is exceeded. */
     private static String query(int number) {
         return RespTestBed.query(number, 4000).replace("00000000000000b2", RespTestBed.requestId(number));
--- a/gateway/src/test/java/opalcove/resp/RespDecoderTest.java
+++ b/gateway/src/test/java/opalcove/resp/RespDecoderTest.java
@@ -3,6 +3,7 @@
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertFalse;
 import static org.junit.jupiter.api.Assertions.assertThrows;
+import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import io.netty.buffer.ByteBuf;
 import io.netty.buffer.PooledByteBufAllocator;
@@ -102,6 +103,47 @@
     }
 
     /** The values behind a dropped string are decoded, wherever the input is split. */
+    /** Stops behind some of the values, in a random order. */
+    private static final class PausingListener extends DescribingListener {
+        private final Random random;
+
+        PausingListener(long seed) {
+            random = new Random(seed);
+        }
+
+        @Override
+        public void valueDecoded(RespDecoder value) {
+            super.valueDecoded(value);
+            if (random.nextBoolean()) {
+                value.pause();
+            }
+        }
+    }
+
+    /** Guards commands behind a pause against being lost, repeated or decoded before it ends. */
+    @Property(tries = 300, seed = "11")
+    void decodesSameValuesWhenDecodingPausesBehindValues(
+            @ForAll("partLengths") List<Integer> partLengths, @ForAll long seed) {
+        String input = "*1\r\n$4\r\nPING\r\n+line\r\n".repeat(40) + "$3\r\nend\r\n";
+        DescribingListener expected = new DescribingListener();
+        new RespDecoder(MAX_ITEMS, expected).decode(buffer(input));
+        PausingListener pausing = new PausingListener(seed);
+        RespDecoder decoder = new RespDecoder(MAX_ITEMS, pausing);
+        int from = 0;
+        for (int i = 0; from < input.length(); i++) {
+            int to = Math.min(input.length(), from + partLengths.get(i % partLengths.size()));
+            decoder.decode(buffer(input.substring(from, to)));
+            while (decoder.isPaused()) {
+                int decoded = pausing.decoded.size();
+                decoder.resume();
+                assertTrue(pausing.decoded.size() > decoded || !decoder.isPaused());
+            }
+            from = to;
+        }
+        assertEquals(expected.decoded, pausing.decoded);
+        assertEquals(0, decoder.undecodedBytes());
+    }
+
     @Property(tries = 200, seed = "10")
     void decodesValuesBehindSkippedString(@ForAll("partLengths") List<Integer> partLengths) {
         String body = "b".repeat(5000);
--- a/gateway/src/test/java/opalcove/resp/UnreadDisconnectTest.java
+++ b/gateway/src/test/java/opalcove/resp/UnreadDisconnectTest.java
@@ -307,7 +307,7 @@
     /** Two requests with PINGs between them, so many commands that the connection is not read after them. */
     private static String fullPipeline() {
         return RespTestBed.query(1, TIMEOUT_MS)
-                + RespTestBed.PING.repeat(MAX_PIPELINED - 1)
+                + RespTestBed.PING.repeat(MAX_PIPELINED - 2)
                 + RespTestBed.query(2, TIMEOUT_MS);
     }
 }
--- a/gateway/src/test/java/opalcove/server/GatewayProcess.java
+++ b/gateway/src/test/java/opalcove/server/GatewayProcess.java
@@ -31,6 +31,8 @@
         List<String> command =
                 new ArrayList<>(List.of("sh", "-c", "ulimit -n " + maxDescriptors + " && exec \"$@\"", "sh"));
         command.add(Path.of(System.getProperty("java.home"), "bin", "java").toString());
+        // As the manifest of the program does.
+        command.add("--add-opens=java.base/java.nio=ALL-UNNAMED");
         command.addAll(flags);
         command.addAll(List.of("-cp", System.getProperty("java.class.path"), "opalcove.Main", "serve"));
         ProcessBuilder builder =
--- a/gateway/src/test/java/opalcove/server/MemoryLimitTest.java
+++ b/gateway/src/test/java/opalcove/server/MemoryLimitTest.java
@@ -1,6 +1,7 @@
 package opalcove.server;
 
 import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertFalse;
 import static org.testng.Assert.assertTrue;
 
 import java.io.IOException;
@@ -35,6 +36,9 @@
     /** How long clients wait; a response that has not come by then never comes. */
     private static final int READ_TIMEOUT_MS = 30_000;
 
+    /** The number of requests that usual clients send, one after the other, during a flood. */
+    private static final int USUAL_REQUESTS = 40;
+
     private static final long START_TIMEOUT_NANOS = TimeUnit.SECONDS.toNanos(60);
 
     /** Clients, commands of each, bytes of a body (none: a query) and of a value, and the backends' working time, ms. */
@@ -91,10 +95,74 @@
                 String info = call(port, RespTestBed.encodeCommand("INFO"));
                 assertTrue(!info.contains("\nallocations_failed=0\n"), info);
                 assertTrue(gateway.log().contains("an allocation failed"), gateway.log());
+                assertFalse(
+                        gateway.log().contains("Cannot reserve"),
+                        "an allocation of the JDK failed, which waits on the event loop:\n" + gateway.log());
             }
         }
     }
 
+    /** Clients, commands that each writes at once, the command's words, and whether the clients read the responses. */
+    @DataProvider
+    public static Object[][] floods() {
+        return new Object[][] {
+            {120, 300, "INFO", true},
+            {1, 50_000, "INFO", true},
+            {300, 100, "INFO", false},
+            {120, 300, "PING " + "p".repeat(3000), false},
+            {120, 300, "UNKNOWN", true},
+            {60, 300, "SVC.QUERY 1 2 c=none", true},
+        };
+    }
+
+    /**
+     * Guards other clients against responses that the gateway makes itself: those to commands that arrive at once used
+     * up the memory, and then the event loop stood still.
+     */
+    @Test(dataProvider = "floods")
+    public void answersOtherClientsDuringFloodOfCommands(int clients, int commands, String command, boolean reads)
+            throws Exception {
+        try (SlowBackend backend = new SlowBackend(4, 20);
+                DiscoveryServer discovery = new DiscoveryServer();
+                SocketChannel port = GatewayProcess.reservePort()) {
+            discovery.list = DiscoveryServer.listOf(1, DiscoveryServer.endpoint("first", backend, "up"));
+            List<Socket> flooding = new ArrayList<>();
+            try (GatewayProcess gateway = new GatewayProcess(port, discovery, DESCRIPTORS, FLAGS)) {
+                awaitPong(port, gateway);
+                for (int i = 0; i < clients; i++) {
+                    flooding.add(connect(port));
+                }
+                String bytes = RespTestBed.encodeCommand(command.split(" ")).repeat(commands);
+                CountDownLatch answered = new CountDownLatch(reads ? clients : 0);
+                for (Socket each : flooding) {
+                    LoopbackServer.startDaemon(() -> LoopbackServer.write(each, bytes));
+                    if (reads) {
+                        LoopbackServer.startDaemon(() -> readReplies(each, commands, answered));
+                    }
+                }
+                for (int i = 0; i < USUAL_REQUESTS; i++) {
+                    String id = String.format("%016x", i + 1);
+                    String parameters = "c=battery-update,t=start,d=" + TIMEOUT_MS + ",units=1,spread=1,first=0";
+                    call(port, RespTestBed.encodeCommand("SVC.QUERY", id, id, parameters));
+                    assertEquals(call(port, RespTestBed.encodeCommand("PING")), "+PONG");
+                }
+                assertTrue(answered.await(READ_TIMEOUT_MS, TimeUnit.MILLISECONDS), answered + "\n" + gateway.log());
+                assertTrue(call(port, RespTestBed.encodeCommand("INFO")).contains("\nallocations_failed=0\n"));
+            } finally {
+                for (Socket each : flooding) {
+                    each.close();
+                }
+            }
+        }
+    }
+
+    private static void readReplies(Socket client, int replies, CountDownLatch whenRead) throws Exception {
+        for (int i = 0; i < replies; i++) {
+            RespTestBed.readReply(client);
+        }
+        whenRead.countDown();
+    }
+
     private static void awaitPong(SocketChannel port, GatewayProcess gateway) throws Exception {
         long end = System.nanoTime() + START_TIMEOUT_NANOS;
         while (true) {
