A client that closes behind much unread input is noticed before each attempt

Cause: a close shows only behind all that was sent before it; a connection that is not read was polled for 16 reads and 256 KiB, 2 MiB of all, and behind that the client counted as connected. While memory is scarce 16 reads are 64 KiB. Change: a poll reads until nothing comes; what it may hold is what long requests could still reserve, and for one connection as much as is left for others. The end is known as of the last read that reached it, over pauses too. The rest is counted (client_checks_incomplete). Open requests no longer count for the 256 commands of a turn, so they do not wait undecoded.

--- a/gateway/src/main/java/opalcove/core/RequestDispatcher.java
+++ b/gateway/src/main/java/opalcove/core/RequestDispatcher.java
@@ -236,6 +236,11 @@
         context.metrics().connectionClosedForDescriptors(isNew);
     }
 
+    /** Counts an attempt that is made although it is not known whether its client is still connected. */
+    public void clientCheckIncomplete() {
+        context.counters().clientChecksIncomplete++;
+    }
+
     /** Counts that a connection is not read until memory is available. */
     public void readPausedForMemory() {
         context.counters().readsPausedForMemory++;
--- a/gateway/src/main/java/opalcove/metrics/Counters.java
+++ b/gateway/src/main/java/opalcove/metrics/Counters.java
@@ -21,6 +21,7 @@
     public long implausibleStartTimes;
     public long connectionsClosedForDescriptors;
     public long connectionsRefusedForDescriptors;
+    public long clientChecksIncomplete;
     public long readsPausedForMemory;
     public long allocationsFailed;
     private final long[] attemptsByStatus = new long[AttemptStatus.values().length];
@@ -69,6 +70,7 @@
         line(text, "starts_of_other_clocks", implausibleStartTimes);
         line(text, "connections_closed_for_descriptors", connectionsClosedForDescriptors);
         line(text, "connections_refused_for_descriptors", connectionsRefusedForDescriptors);
+        line(text, "client_checks_incomplete", clientChecksIncomplete);
         line(text, "reads_paused_for_memory", readsPausedForMemory);
         line(text, "allocations_failed", allocationsFailed);
         line(text, "stopped_by_guards", vetoed);
--- a/gateway/src/main/java/opalcove/resp/ClientConnection.java
+++ b/gateway/src/main/java/opalcove/resp/ClientConnection.java
@@ -200,7 +200,7 @@
         PipelineSlot slot = pipeline.add();
         execute(command, slot);
         if (!isClosing) {
-            pauseIfLimited();
+            pauseIfLimited(slot.request() != null);
         }
     }
 
@@ -223,8 +223,8 @@
      * that keeps sending commands or does not read the responses, and other clients against one that takes all of a
      * turn.
      */
-    private void pauseIfLimited() {
-        boolean hasUsedShare = !server.scheduler().commandExecuted(turnShare);
+    private void pauseIfLimited(boolean isRequestOpen) {
+        boolean hasUsedShare = !server.scheduler().commandExecuted(turnShare, isRequestOpen);
         isPipelineFull |= pipeline.size() >= MAX_PIPELINED;
         if (hasUsedShare || isPipelineFull || !socket.isWritable()) {
             decoder.pause();
--- a/gateway/src/main/java/opalcove/resp/CommandScheduler.java
+++ b/gateway/src/main/java/opalcove/resp/CommandScheduler.java
@@ -10,7 +10,8 @@
 import opalcove.lifecycle.Application;
 
 /**
- * Limits the commands that one turn of the event loop executes, for each connection and for all of them. Guards other
+ * Limits the commands that one turn of the event loop executes: for each connection, and those that the gateway answers
+ * itself for all connections. Guards other
  * clients, timers and backends against waiting for a client that sends commands at full speed. A connection that has
  * used its share stops decoding and continues in a later turn, in the order of the requests to continue. Owned by the
  * event loop of the connections.
@@ -18,8 +19,11 @@
 final class CommandScheduler {
     /** The maximum number of commands of one connection in a turn. */
     static final int MAX_CONNECTION_COMMANDS = 128;
-    /** The number of commands of all connections in a turn after which each connection stops at its next command. */
-    private static final int MAX_TURN_COMMANDS = 256;
+    /**
+     * The number of commands that the gateway has answered itself in a turn, for all connections, after which each
+     * connection stops at its next command. Requests that are open do not count: their number is limited elsewhere.
+     */
+    private static final int MAX_TURN_RESPONSES = 256;
 
     /** The share of one connection in the current turn. Owned by the connection. */
     static final class Share {
@@ -42,7 +46,7 @@
     private final Deque<Continuation> waiting = new ArrayDeque<>();
     private boolean isScheduled;
     private long turn;
-    private int turnCommands;
+    private int turnResponses;
 
     /** To be called on the event loop of the connections. */
     CommandScheduler(Vertx vertx) {
@@ -50,23 +54,30 @@
         turnId = Application.readUpTo(vertx);
     }
 
-    /** Counts an executed command; returns whether the connection may execute another one in this turn. */
-    boolean commandExecuted(Share share) {
+    /**
+     * Counts an executed command.
+     *
+     * @param isRequestOpen whether the command is a request whose response comes later
+     * @return whether the connection may execute another command in this turn
+     */
+    boolean commandExecuted(Share share, boolean isRequestOpen) {
         enterTurn();
         if (share.turn != turn) {
             share.turn = turn;
             share.commands = 0;
         }
         share.commands++;
-        turnCommands++;
-        return share.commands < MAX_CONNECTION_COMMANDS && turnCommands < MAX_TURN_COMMANDS;
+        if (!isRequestOpen) {
+            turnResponses++;
+        }
+        return share.commands < MAX_CONNECTION_COMMANDS && turnResponses < MAX_TURN_RESPONSES;
     }
 
     private void enterTurn() {
         long now = turnId.getAsLong();
         if (now != turn) {
             turn = now;
-            turnCommands = 0;
+            turnResponses = 0;
         }
     }
 
@@ -87,11 +98,11 @@
         }
     }
 
-    /** Continues connections until the commands of this turn are used up; each connection once. */
+    /** Continues connections until the responses of this turn are used up; each connection once. */
     private void continueWaiting() {
         isScheduled = false;
         enterTurn();
-        for (int remaining = waiting.size(); remaining > 0 && turnCommands < MAX_TURN_COMMANDS; remaining--) {
+        for (int remaining = waiting.size(); remaining > 0 && turnResponses < MAX_TURN_RESPONSES; remaining--) {
             Continuation next = waiting.poll();
             next.share.isWaiting = false;
             next.action.run();
--- a/gateway/src/main/java/opalcove/resp/ConnectionInput.java
+++ b/gateway/src/main/java/opalcove/resp/ConnectionInput.java
@@ -18,22 +18,20 @@
      * Input that may have been unread for longer than this is stale; a shorter time is within the slack on deadlines.
      */
     private static final long STALE_NANOS = TimeUnit.MILLISECONDS.toNanos(100);
-    /** The maximum number of bytes that polls buffer until this connection is read again. */
-    private static final int MAX_BUFFERED_BYTES = 256 * 1024;
-    /** The maximum number of reads of one poll. Reads grow to 64 KiB, so fewer reach the buffer limit. */
-    private static final int MAX_READS = 16;
+    /** The maximum number of reads of one poll, for input that is not buffered, and so not limited by memory. */
+    private static final int MAX_READS = 1024;
 
     private final DisconnectDetector detector;
     private final RawSocket socket;
     private final RespDecoder decoder;
     private final BooleanSupplier hasOpenRequests;
-    /** Bytes that were read and not decoded, because decoding is paused; null if there are none. */
-    private ByteBuf buffered;
+    /** Bytes that were read and not decoded, because decoding is paused. */
+    private final UndecodedInput buffered = new UndecodedInput();
     /** The size of the buffers of undecoded bytes, here and in the decoder, as the detector counts it. */
     private int undecodedBytes;
 
     private boolean isPaused;
-    /** Nothing is read at all, not even by a poll: bytes that arrive stay in the kernel. */
+    /** Nothing is read except before an attempt for this client: bytes that arrive stay in the kernel. */
     private boolean isSuspended;
     /** Bytes are decoded even while paused; after the end the decoder drops them. */
     private boolean decodesAll;
@@ -44,6 +42,8 @@
 
     private long bytesReadCount;
     private long polledAt = System.nanoTime();
+    /** When the last poll that reached the end of the input began. */
+    private long polledToEndAt = polledAt;
     /** When bytes were last read. */
     private long bytesReadAt = polledAt;
     /** Whether the last read filled its buffer and the socket was not read to its end since. */
@@ -52,9 +52,9 @@
     private int readCount;
     /** Since when the bytes of the last read may have been unread. */
     private long lastReadSince = polledAt;
-    /** Up to when the event loop had read this connection to its end before that. */
+    /** Up to when this connection had been read to its end before that: nothing unread had arrived by then. */
     private long previousReadToEnd = polledAt;
-    /** Up to when this connection was known to be read to its end, while not every turn of the event loop reads it. */
+    /** The same, while not every turn of the event loop reads this connection, and until the first one that does. */
     private long emptyUpTo;
     /**
      * When the event loop resumed reading this connection: the first bytes may have arrived since {@link #emptyUpTo}.
@@ -85,33 +85,36 @@
     /** Decodes or buffers bytes that were read from the socket, and releases them. */
     void bytesRead(ByteBuf bytes) {
         bytesReadCount += bytes.readableBytes();
-        // These bytes had not arrived when the loop last read to the end, so neither had a disconnect behind them.
-        previousReadToEnd = detector.readUpToNanos();
+        if (!isMoreUnread) {
+            // These bytes had not arrived by then, so neither had a disconnect behind them.
+            previousReadToEnd = readToEndUpTo();
+        }
         bytesReadAt = System.nanoTime();
         long since = unreadSinceNow();
         lastReadSince = since;
         isMoreUnread = !bytes.isWritable();
         readCount++;
         readToEndIfStale(since);
-        if (!isDecoding && !decoder.isWaiting() && (!isPaused || decodesAll || isEnded)) {
+        if (buffered.isEmpty() && mayDecode()) {
             unreadSince = since;
             decode(bytes);
             return;
         }
-        if (buffered == null) {
-            buffered = socket.allocate(bytes.readableBytes());
+        if (buffered.isEmpty()) {
             bufferedSince = since;
         }
-        try {
-            buffered.writeBytes(bytes);
-        } finally {
-            bytes.release();
-            countUndecoded();
-        }
+        buffered.add(socket.compact(bytes));
+        countUndecoded();
+    }
+
+    /** Whether bytes may be decoded now; else they are buffered. */
+    private boolean mayDecode() {
+        boolean isHeld = (isPaused || isSuspended) && !decodesAll && !isEnded;
+        return !isDecoding && !decoder.isWaiting() && !isHeld;
     }
 
     private void countUndecoded() {
-        int undecodedNow = (buffered == null ? 0 : buffered.capacity()) + decoder.undecodedBytes();
+        int undecodedNow = buffered.capacity() + decoder.undecodedBytes();
         detector.addBuffered(undecodedNow - undecodedBytes);
         undecodedBytes = undecodedNow;
     }
@@ -125,13 +128,23 @@
         readCount = 0;
     }
 
+    /** Whether the event loop has polled this connection since it was resumed. */
+    private boolean isReadEachTurn() {
+        return !isPaused && !isSuspended && detector.readUpToNanos() - resumedAt >= 0;
+    }
+
+    /** Returns up to when this connection is known to be read to its end, unless bytes have been read since. */
+    private long readToEndUpTo() {
+        long upTo = isReadEachTurn() ? detector.readUpToNanos() : emptyUpTo;
+        return polledToEndAt - upTo > 0 ? polledToEndAt : upTo;
+    }
+
     /** Returns since when bytes that are read now may have been unread. */
     private long unreadSinceNow() {
         if (isReadingStaleInput) {
             return staleSince;
         }
-        boolean isReadEachTurn = !isPaused && !isSuspended && previousReadToEnd - resumedAt >= 0;
-        if (!isReadEachTurn) {
+        if (!isReadEachTurn()) {
             return emptyUpTo;
         }
         return isMoreUnread ? lastReadSince : detector.unreadSinceNanos();
@@ -157,13 +170,17 @@
 
     /** Decodes the bytes, and then those that polls read for an attempt that the bytes caused. */
     private void decode(ByteBuf bytes) {
+        decodePart(bytes);
+        decodeBuffered();
+    }
+
+    private void decodePart(ByteBuf bytes) {
         isDecoding = true;
         try {
             decoder.decode(bytes);
         } finally {
             decodingStopped();
         }
-        decodeBufferedIfAllowed();
     }
 
     /** Continues decoding that was paused with bytes of the last read undecoded, although reading may stay paused. */
@@ -185,7 +202,7 @@
         } finally {
             decodingStopped();
         }
-        decodeBufferedIfAllowed();
+        decodeBuffered();
     }
 
     private void decodingStopped() {
@@ -193,18 +210,10 @@
         countUndecoded();
     }
 
-    private void decodeBufferedIfAllowed() {
-        if (!isPaused || decodesAll || isEnded) {
-            decodeBuffered();
-        }
-    }
-
     private void decodeBuffered() {
-        ByteBuf bytes = buffered;
-        if (bytes != null && !isDecoding && !decoder.isWaiting()) {
-            buffered = null;
+        while (!buffered.isEmpty() && mayDecode()) {
             unreadSince = bufferedSince;
-            decode(bytes);
+            decodePart(buffered.poll());
         }
     }
 
@@ -219,13 +228,14 @@
 
     /** Whether bytes were read and not decoded. */
     boolean hasUndecoded() {
-        return buffered != null || decoder.undecodedBytes() > 0;
+        return !buffered.isEmpty() || decoder.undecodedBytes() > 0;
     }
 
     /**
      * Stops all reads until {@link #resumeSuspended}, so that bytes that arrive stay in the kernel. Guards requests
      * against being read on a connection that the gateway may have to close: the client retries requests that were not
-     * read.
+     * read. Only before an attempt for another open request is the connection read all the same, and what is read is
+     * buffered.
      */
     void suspend() {
         if (!isSuspended) {
@@ -242,6 +252,10 @@
     void resumeSuspended() {
         if (isSuspended) {
             isSuspended = false;
+            if (isPaused || hasUndecoded() && !isConnected()) {
+                return;
+            }
+            decodeBuffered();
             if (!isPaused) {
                 readAgain();
             }
@@ -312,10 +326,7 @@
         isEnded = true;
         decoder.stop();
         detector.removePaused(this);
-        if (buffered != null) {
-            buffered.release();
-            buffered = null;
-        }
+        buffered.release();
         countUndecoded();
     }
 
@@ -323,25 +334,29 @@
      * Whether the client is still connected. Polls the socket if the last check is too old: at most once per turn of
      * the event loop, and once more for each {@link #MAX_AGE_NANOS} of a long turn. A connection that is not paused
      * needs no poll while the loop reads its sockets that often. If more bytes are unread than may be buffered, the
-     * state is unknown and the client is assumed to be connected.
+     * state is unknown and the client is assumed to be connected; that is counted.
      */
     boolean isConnected() {
-        if (socket.isOpen() && !isSuspended && !isKnown()) {
+        if (socket.isOpen() && !isKnown()) {
             poll();
+            if (socket.isOpen() && polledToEndAt != polledAt) {
+                detector.checkIncomplete();
+            }
         }
         return socket.isOpen();
     }
 
     private boolean isKnown() {
         long loopReadUpTo = detector.readUpToNanos();
-        if (isPaused && polledAt - loopReadUpTo < 0) {
+        if ((isPaused || isSuspended) && polledAt - loopReadUpTo < 0) {
             return false;
         }
-        // If bytes were read in this turn of the loop, a disconnect may be unread behind them.
-        boolean endMayLieBehind = bytesReadAt - loopReadUpTo >= 0;
-        long readToEnd = endMayLieBehind ? previousReadToEnd : loopReadUpTo;
-        long known = polledAt - readToEnd >= 0 ? polledAt : readToEnd;
-        return System.nanoTime() - known < MAX_AGE_NANOS;
+        // If bytes were read in this turn of the loop, or not all of them, a disconnect may be unread behind them.
+        boolean endMayLieBehind = bytesReadAt - loopReadUpTo >= 0 || isMoreUnread;
+        long readToEnd = endMayLieBehind ? previousReadToEnd : readToEndUpTo();
+        // A poll that did not reach the end is not repeated at once, either.
+        long checked = polledAt - readToEnd >= 0 ? polledAt : readToEnd;
+        return System.nanoTime() - checked < MAX_AGE_NANOS;
     }
 
     /**
@@ -349,9 +364,6 @@
      * returns at most one buffer, and does not reach a disconnect behind it.
      */
     void poll() {
-        if (isSuspended) {
-            return;
-        }
         polledAt = System.nanoTime();
         long before = -1;
         for (int reads = 0;
@@ -362,12 +374,12 @@
         }
         if (bytesReadCount == before) {
             isMoreUnread = false;
+            polledToEndAt = polledAt;
             emptyUpTo = polledAt;
         }
     }
 
     private boolean hasBufferSpace() {
-        boolean isBuffering = isDecoding || isPaused && !isEnded;
-        return !isBuffering || detector.hasBufferSpace() && undecodedBytes < MAX_BUFFERED_BYTES;
+        return mayDecode() || detector.hasBufferSpace(undecodedBytes);
     }
 }
--- a/gateway/src/main/java/opalcove/resp/DisconnectDetector.java
+++ b/gateway/src/main/java/opalcove/resp/DisconnectDetector.java
@@ -11,16 +11,14 @@
 /**
  * Detects that clients have disconnected. A close or a reset is detected only by a read, and only after all bytes sent
  * before it have been read. On a connection that is being read this takes at most a turn of the event loop. A
- * connection whose reading is paused is polled: it is read periodically and right before an attempt is made for it, and
- * its bytes are buffered for later. Owned by the event loop of the connections.
+ * connection whose reading is paused is polled: it is read to its end periodically and right before an attempt is made
+ * for it, and its bytes are buffered for later. Owned by the event loop of the connections.
  */
 final class DisconnectDetector {
     /**
      * The interval at which paused connections with open requests are polled, to cancel those of disconnected clients.
      */
     private static final long POLL_MS = 100;
-    /** The maximum number of bytes that polls buffer until the connections are read again, over all connections. */
-    static final int MAX_BUFFERED_BYTES = 2 * 1024 * 1024;
 
     private final Vertx vertx;
     private final LongSupplier readUpTo;
@@ -28,11 +26,17 @@
     private final Set<ConnectionInput> paused = new HashSet<>();
     private boolean isPollScheduled;
     private final MemoryBudget memory;
-    private final int maxBufferedBytes = MemoryBudget.maxPolledBytes();
+    private final Runnable checkIncomplete;
     private int bufferedBytes;
 
-    /** To be called on the event loop of the connections. */
-    DisconnectDetector(Vertx vertx, MemoryBudget memory) {
+    /**
+     * To be called on the event loop of the connections.
+     *
+     * @param checkIncomplete is run each time it is not known whether the client of an attempt is still connected,
+     *     because more of its input is unread than may be buffered
+     */
+    DisconnectDetector(Vertx vertx, MemoryBudget memory, Runnable checkIncomplete) {
+        this.checkIncomplete = checkIncomplete;
         this.vertx = vertx;
         this.memory = memory;
         readUpTo = Application.readUpTo(vertx);
@@ -77,8 +81,16 @@
         paused.remove(input);
     }
 
-    boolean hasBufferSpace() {
-        return bufferedBytes < maxBufferedBytes;
+    /**
+     * Whether a poll may buffer more bytes of a connection that has this many already. A connection may have as many as
+     * are left to all others, so that one client cannot hide the disconnects of the others.
+     */
+    boolean hasBufferSpace(int bytesOfConnection) {
+        return bytesOfConnection < memory.maxPolledBytes() - bufferedBytes;
+    }
+
+    void checkIncomplete() {
+        checkIncomplete.run();
     }
 
     /** Counts buffered bytes; a negative number counts bytes that are buffered no longer. */
@@ -94,7 +106,7 @@
 
     private void pollPaused() {
         for (ConnectionInput each : List.copyOf(paused)) {
-            if (each.hasOpenRequests()) {
+            if (each.hasOpenRequests() && !each.isSuspended()) {
                 each.poll();
             }
         }
--- a/gateway/src/main/java/opalcove/resp/MemoryBudget.java
+++ b/gateway/src/main/java/opalcove/resp/MemoryBudget.java
@@ -38,6 +38,9 @@
      */
     private static final int READS_IN_DIRECT_MEMORY = 384;
 
+    /** What polls may hold however much is in use, in eighths of the budget. */
+    private static final int MIN_POLLED_EIGHTHS = 2;
+
     private static final long LOG_INTERVAL_NANOS = TimeUnit.SECONDS.toNanos(1);
 
     /** The uses of memory, in the order of their limits. */
@@ -132,9 +135,12 @@
         return (int) Math.min(BufferBudget.MAX_BYTES, PlatformDependent.maxDirectMemory() / 4);
     }
 
-    /** Returns the limit of bytes that are read for the detection of disconnects alone. */
-    static int maxPolledBytes() {
-        return (int) Math.min(DisconnectDetector.MAX_BUFFERED_BYTES, PlatformDependent.maxDirectMemory() / 12);
+    /**
+     * Returns the limit of bytes that are read only to detect disconnects: what long requests could still reserve, and
+     * never less than their minimum.
+     */
+    long maxPolledBytes() {
+        return Math.max(maxBytes * MIN_POLLED_EIGHTHS / 8, limit(Use.REQUEST) - usedBytes);
     }
 
     /** Returns the maximum size of any read, bytes. */
--- a/gateway/src/main/java/opalcove/resp/RespServer.java
+++ b/gateway/src/main/java/opalcove/resp/RespServer.java
@@ -66,7 +66,7 @@
                 drain,
                 new CommandHandler(dispatcher, drain),
                 new CommandScheduler(vertx),
-                new DisconnectDetector(vertx, memory),
+                new DisconnectDetector(vertx, memory, dispatcher::clientCheckIncomplete),
                 new BufferBudget(MemoryBudget.maxBufferedValueBytes()),
                 memory,
                 open,
--- a/gateway/src/test/java/opalcove/metrics/OutsideNamesTest.java
+++ b/gateway/src/test/java/opalcove/metrics/OutsideNamesTest.java
@@ -62,6 +62,7 @@
             starts_of_other_clocks=0
             connections_closed_for_descriptors=0
             connections_refused_for_descriptors=0
+            client_checks_incomplete=0
             reads_paused_for_memory=0
             allocations_failed=0
             stopped_by_guards=0
--- a/gateway/src/test/java/opalcove/resp/CommandSchedulerTest.java
+++ b/gateway/src/test/java/opalcove/resp/CommandSchedulerTest.java
@@ -59,13 +59,13 @@
             CommandScheduler scheduler = new CommandScheduler(vertx);
             CommandScheduler.Share busy = new CommandScheduler.Share();
             for (int i = 1; i < CommandScheduler.MAX_CONNECTION_COMMANDS; i++) {
-                assertTrue(scheduler.commandExecuted(busy), "command " + i);
+                assertTrue(scheduler.commandExecuted(busy, false), "command " + i);
             }
-            assertFalse(scheduler.commandExecuted(busy));
-            assertTrue(scheduler.commandExecuted(new CommandScheduler.Share()));
+            assertFalse(scheduler.commandExecuted(busy, false));
+            assertTrue(scheduler.commandExecuted(new CommandScheduler.Share(), false));
             scheduler.continueLater(busy, () -> {
                 events.add("continued");
-                assertTrue(scheduler.commandExecuted(busy));
+                assertTrue(scheduler.commandExecuted(busy, false));
                 events.add("may execute again");
             });
             assertTrue(busy.isWaiting());
@@ -96,7 +96,7 @@
     private void useUpTurn(CommandScheduler scheduler, String name) {
         events.add(name);
         CommandScheduler.Share share = new CommandScheduler.Share();
-        while (scheduler.commandExecuted(share)) {
+        while (scheduler.commandExecuted(share, false)) {
             // Uses up the share of this connection.
         }
     }
--- a/gateway/src/test/java/opalcove/resp/UnreadDisconnectTest.java
+++ b/gateway/src/test/java/opalcove/resp/UnreadDisconnectTest.java
@@ -136,6 +136,123 @@
         assertNothingSentWhenDisconnectedDuringConnect(disconnect, fullPipeline() + RespTestBed.PING.repeat(3000), 2);
     }
 
+    /** How a client disconnects, and how many bytes are unread then, behind a pipeline that is full. */
+    @DataProvider
+    public Object[][] unreadInput() {
+        return new Object[][] {
+            {Disconnect.CLOSE, 100_000},
+            {Disconnect.CLOSE, 350_000},
+            {Disconnect.CLOSE, 900_000},
+            {Disconnect.CLOSE, 2_500_000},
+            {Disconnect.RESET, 350_000}
+        };
+    }
+
+    /** Guards against a limit on the input that is read for a disconnect, behind which the disconnect is hidden. */
+    @Test(dataProvider = "unreadInput")
+    public void sendsNothingWhenClientDisconnectedBehindInputOfAnySize(Disconnect disconnect, int unreadBytes)
+            throws Exception {
+        assertNothingSentWhenDisconnectedDuringConnect(
+                disconnect, fullPipeline() + RespTestBed.PING.repeat(unreadBytes / RespTestBed.PING.length()), 2);
+    }
+
+    /** Guards the disconnects of some clients against the unread input of others. */
+    @Test
+    public void sendsNothingWhenSeveralClientsDisconnectedBehindMuchInput() throws Exception {
+        int clients = 6;
+        try (RespTestBed testBed = new RespTestBed(LONG_DEADLINES)) {
+            RespTestBed.FakeBackend backend = testBed.startBackend("n1");
+            testBed.setEndpoints(backend.withState(EndpointState.UP));
+            testBed.holdConnections();
+            List<Socket> sockets = new ArrayList<>();
+            List<Runnable> heldConnections = new ArrayList<>();
+            for (int i = 1; i <= clients; i++) {
+                Socket client = testBed.connectClient();
+                sockets.add(client);
+                RespTestBed.send(
+                        client,
+                        RespTestBed.query(i, TIMEOUT_MS)
+                                + RespTestBed.PING.repeat(MAX_PIPELINED - 1)
+                                + RespTestBed.PING.repeat(25_000));
+                heldConnections.add(testBed.awaitHeldConnection());
+            }
+            testBed.runWhileLoopBlocked(
+                    () -> {
+                        for (Socket client : sockets) {
+                            client.close();
+                        }
+                        Thread.sleep(POLL_AGE_MS);
+                    },
+                    () -> heldConnections.forEach(Runnable::run));
+            assertNothingSent(testBed, backend, clients);
+            assertEquals(testBed.counter("client_checks_incomplete"), 0);
+        }
+    }
+
+    /** Guards against the limit on the memory of polls, behind which a disconnect is hidden. Known to fail, issue 64. */
+    @Test
+    public void sendsNothingWhenClientDisconnectedBehindMoreInputThanPollsMayHold() throws Exception {
+        int maxBytes = 1024 * 1024;
+        try (RespTestBed testBed = RespTestBed.withMemory(maxBytes, LONG_DEADLINES)) {
+            RespTestBed.FakeBackend backend = testBed.startBackend("n1");
+            testBed.setEndpoints(backend.withState(EndpointState.UP));
+            testBed.holdConnections();
+            Socket client = testBed.connectClient();
+            RespTestBed.send(
+                    client, fullPipeline() + RespTestBed.PING.repeat(2 * maxBytes / RespTestBed.PING.length()));
+            List<Runnable> heldConnections = List.of(testBed.awaitHeldConnection(), testBed.awaitHeldConnection());
+            testBed.runWhileLoopBlocked(
+                    () -> disconnectAndWait(Disconnect.CLOSE, client), () -> heldConnections.forEach(Runnable::run));
+            assertTrue(backend.receivedNothing(), "the request of a disconnected client was sent");
+        }
+    }
+
+    /** Guards against input that is taken for new when reading resumes: the disconnect may lie behind it for long. */
+    @Test(dataProvider = "disconnects")
+    public void sendsNothingWhenClientDisconnectedBehindRequestUnreadDuringPause(Disconnect disconnect)
+            throws Exception {
+        try (RespTestBed testBed = new RespTestBed(LONG_DEADLINES)) {
+            RespTestBed.FakeBackend backend = testBed.startBackend("n1");
+            testBed.setEndpoints(backend.withState(EndpointState.UP));
+            Socket client = testBed.connectClient();
+            RespTestBed.send(client, RespTestBed.encodeCommand("SVC.QUERY"));
+            assertTrue(RespTestBed.readReply(client).startsWith("-ERR"));
+            // Reading is paused for the error now.
+            RespTestBed.send(client, RespTestBed.query(1, TIMEOUT_MS) + "x".repeat(100_000));
+            disconnectAndWait(disconnect, client);
+            Socket next = testBed.connectClient();
+            Thread.sleep(4 * POLL_AGE_MS);
+            RespTestBed.send(next, RespTestBed.query(99, TIMEOUT_MS));
+            assertTrue(
+                    backend.nextConnectionWithCommand().readCommand().contains(RespTestBed.requestId(99)),
+                    "the request of a disconnected client was sent");
+        }
+    }
+
+    /** Guards the disconnect of a client whose next command waits for memory, behind as much input as it has sent. */
+    @Test
+    public void sendsNothingWhenClientDisconnectedWhileItsCommandWaitedForMemory() throws Exception {
+        int maxBytes = 1024 * 1024;
+        try (RespTestBed testBed = RespTestBed.withMemory(maxBytes, LONG_DEADLINES)) {
+            RespTestBed.FakeBackend backend = testBed.startBackend("n1");
+            testBed.setEndpoints(backend.withState(EndpointState.UP));
+            testBed.holdConnections();
+            testBed.onLoop(() -> testBed.memory.charge(maxBytes / 2));
+            Socket client = testBed.connectClient();
+            RespTestBed.send(
+                    client,
+                    RespTestBed.query(1, TIMEOUT_MS)
+                            + RespTestBed.submit(2, TIMEOUT_MS, "2")
+                                    .replace("$4\r\nbody", "$60000\r\n" + "b".repeat(60_000))
+                            + RespTestBed.PING.repeat(5_000));
+            Runnable heldConnection = testBed.awaitHeldConnection();
+            testBed.awaitCounter("reads_paused_for_memory", 1);
+            testBed.runWhileLoopBlocked(() -> disconnectAndWait(Disconnect.CLOSE, client), heldConnection::run);
+            assertNothingSent(testBed, backend, 1);
+            testBed.onLoop(() -> testBed.memory.release(maxBytes / 2));
+        }
+    }
+
     @Test(dataProvider = "disconnects")
     public void sendsNothingWhenClientDisconnectedWhileErrorPausedReads(Disconnect disconnect) throws Exception {
         assertNothingSentWhenDisconnectedDuringConnect(
--- a/gateway/src/test/java/opalcove/server/MemoryLimitTest.java
+++ b/gateway/src/test/java/opalcove/server/MemoryLimitTest.java
@@ -32,7 +32,7 @@
             List.of("-XX:+UseSerialGC", "-XX:TieredStopAtLevel=1", "-Xmx48m", "-XX:MaxDirectMemorySize=24m");
     private static final int TIMEOUT_MS = 7000;
     /** Less than the allocator's pool needs for so many connections, whatever the budget. */
-    private static final String TOO_LITTLE_MEMORY = "4m";
+    private static final String TOO_LITTLE_MEMORY = "2m";
     /** How long clients wait; a response that has not come by then never comes. */
     private static final int READ_TIMEOUT_MS = 30_000;
 
