A request with more than 64 parameters is an error

Cause: RequestDecoder.splitParameters put each field into a map, known or not, thousands for one request. Change: it stops at the 65th parameter and rejects the request. RespRepliesTest has 65, 4,006 and 64 fields; before, a request with that many valid fields was executed (by reading; the test was run after only).

--- a/gateway/src/main/java/opalcove/resp/RequestDecoder.java
+++ b/gateway/src/main/java/opalcove/resp/RequestDecoder.java
@@ -21,6 +21,9 @@
     static final int PARAMETERS = 3;
     static final int BODY = 4;
 
+    /** The maximum number of parameters of a request, known or not. */
+    static final int MAX_PARAMETERS = 64;
+
     private final Supplier<RequestValidator> newestValidator;
     private final ParameterDecoder parameters = new ParameterDecoder(PARAMETERS);
     private RequestValidator validator;
@@ -145,8 +148,13 @@
     }
 
     static Map<String, String> splitParameters(String text) throws InvalidRequestException {
+        // Guards the event loop against parameters by the thousand, each of which costs time and memory.
+        String[] parameters = text.split(",", MAX_PARAMETERS + 1);
+        if (parameters.length > MAX_PARAMETERS) {
+            throw new InvalidRequestException("more than " + MAX_PARAMETERS + " parameters");
+        }
         Map<String, String> values = new HashMap<>();
-        for (String parameter : text.split(",")) {
+        for (String parameter : parameters) {
             int equals = parameter.indexOf('=');
             if (equals < 1) {
                 throw new InvalidRequestException("expected name=value");
--- a/gateway/src/test/java/opalcove/resp/RespRepliesTest.java
+++ b/gateway/src/test/java/opalcove/resp/RespRepliesTest.java
@@ -130,6 +130,11 @@
             {RespTestBed.encodeCommand("SVC.QUERY", TENANT, ID, ""), "expected name=value"},
             {RespTestBed.encodeCommand("SVC.QUERY", TENANT, ID, "=1," + PARAMETERS), "expected name=value"},
             {RespTestBed.encodeCommand("SVC.QUERY", TENANT, ID, PARAMETERS + ",d=3"), "a name comes twice"},
+            // Guards the event loop against heads of thousands of fields, each of which costs time.
+            {query(PARAMETERS + otherParameters(59)), "more than 64 parameters"},
+            {query(PARAMETERS + otherParameters(4000)), "more than 64 parameters"},
+            {query(PARAMETERS + otherParameters(58) + ",d=3"), "more than 64 parameters"},
+            {query(PARAMETERS + otherParameters(57) + ",d=3"), "a name comes twice"},
             {query(PARAMETERS.replace("c=slot-status,", "")), "c is missing"},
             {query(PARAMETERS.replace("slot-status", "none")), "unknown class"},
             {query(KEYED_PARAMETERS), "SVC.QUERY does not serve swap-record"},
@@ -169,6 +174,14 @@
         };
     }
 
+    private static String otherParameters(int count) {
+        StringBuilder text = new StringBuilder();
+        for (int i = 0; i < count; i++) {
+            text.append(",x").append(i).append("=1");
+        }
+        return text.toString();
+    }
+
     private static String query(String parameters) {
         return RespTestBed.encodeCommand("SVC.QUERY", TENANT, ID, parameters);
     }
