--- a/gateway/src/main/java/opalcove/resp/ConnectionInput.java
+++ b/gateway/src/main/java/opalcove/resp/ConnectionInput.java
@@ -18,8 +18,8 @@
      * Input that may have been unread for longer than this is stale; a shorter time is within the slack on deadlines.
      */
     private static final long STALE_NANOS = TimeUnit.MILLISECONDS.toNanos(100);
-    /** The maximum number of reads of one poll, for input that is not buffered, and so not limited by memory. */
-    private static final int MAX_READS = 1024;
+    /** The maximum number of bytes of one poll. Guards other clients against input without end that is not buffered. */
+    private static final int MAX_POLL_BYTES = 8 * 1024 * 1024;
 
     private final DisconnectDetector detector;
     private final RawSocket socket;
@@ -365,10 +365,9 @@
      */
     void poll() {
         polledAt = System.nanoTime();
+        long end = bytesReadCount + MAX_POLL_BYTES;
         long before = -1;
-        for (int reads = 0;
-                reads < MAX_READS && bytesReadCount != before && socket.isOpen() && hasBufferSpace();
-                reads++) {
+        while (bytesReadCount != before && bytesReadCount < end && socket.isOpen() && hasBufferSpace()) {
             before = bytesReadCount;
             socket.readNow();
         }
