--- a/gateway/src/main/java/opalcove/resp/CommandScheduler.java
+++ b/gateway/src/main/java/opalcove/resp/CommandScheduler.java
@@ -11,10 +11,9 @@
 
 /**
  * Limits the commands that one turn of the event loop executes: for each connection, and those that the gateway answers
- * itself for all connections. Guards other
- * clients, timers and backends against waiting for a client that sends commands at full speed. A connection that has
- * used its share stops decoding and continues in a later turn, in the order of the requests to continue. Owned by the
- * event loop of the connections.
+ * itself for all connections. Guards other clients, timers and backends against waiting for a client that sends
+ * commands at full speed. A connection that has used its share stops decoding and continues in a later turn; those that
+ * wait continue in the order in which they stopped. Owned by the event loop of the connections.
  */
 final class CommandScheduler {
     /** The maximum number of commands of one connection in a turn. */
--- a/gateway/src/test/java/opalcove/resp/UnreadDisconnectTest.java
+++ b/gateway/src/test/java/opalcove/resp/UnreadDisconnectTest.java
@@ -189,7 +189,7 @@
         }
     }
 
-    /** Guards against the limit on the memory of polls, behind which a disconnect is hidden. Known to fail, issue 64. */
+    /** Guards against the limit on the memory of polls, behind which a disconnect is hidden. */
     @Test
     public void sendsNothingWhenClientDisconnectedBehindMoreInputThanPollsMayHold() throws Exception {
         int maxBytes = 1024 * 1024;
