No attempt begins for a client that may have left behind more input than memory holds

Cause: an unknown state was taken for connected. Memory is finite, and behind enough input neither a poll nor the kernel tells of the end. Change: ClientState has the third state. No attempt begins for a client not known to have been connected 75 ms before; its request is refused, or failed where it may have run and must not be repeated. A refusal releases memory, a poll that lacked some is then continued, and the end comes into reach. Half of the memory of polls is for one connection after the other, so that the end of one is reached. Counter refused.client_unknown.

--- a/gateway/src/main/java/opalcove/core/InFlightRequest.java
+++ b/gateway/src/main/java/opalcove/core/InFlightRequest.java
@@ -153,9 +153,9 @@
         return acceptedAtMs + request.timeoutMs() - nowMs;
     }
 
-    /** Whether the client is still connected, as far as is known now. */
-    boolean isClientConnected() {
-        return handler.isConnected();
+    /** Returns what is known of the client now. */
+    ClientState clientState() {
+        return handler.clientState();
     }
 
     /**
--- a/gateway/src/main/java/opalcove/core/RequestDispatcher.java
+++ b/gateway/src/main/java/opalcove/core/RequestDispatcher.java
@@ -236,7 +236,7 @@
         context.metrics().connectionClosedForDescriptors(isNew);
     }
 
-    /** Counts an attempt that is made although it is not known whether its client is still connected. */
+    /** Counts an attempt that is not made because it is not known whether its client is still connected. */
     public void clientCheckIncomplete() {
         context.counters().clientChecksIncomplete++;
     }
--- a/gateway/src/main/java/opalcove/core/RequestLifecycle.java
+++ b/gateway/src/main/java/opalcove/core/RequestLifecycle.java
@@ -36,6 +36,8 @@
 
     private static final AttemptGuard.Veto CLIENT_DISCONNECTED =
             new AttemptGuard.Veto(Invariant.CLIENT_WAITS, "its client has disconnected");
+    private static final AttemptGuard.Veto CLIENT_UNKNOWN =
+            new AttemptGuard.Veto(Invariant.CLIENT_WAITS, "its client may have disconnected");
 
     private final Vertx vertx;
     private final Clock clock;
@@ -191,13 +193,16 @@
     // Attempts.
 
     /**
-     * Makes one attempt: it is started if the guard allows it and the client is still connected, else it ends as not
-     * sent.
+     * Makes one attempt: it is started if the guard allows it and the client is known to be connected, else it ends as
+     * not sent.
      */
     private void forward(InFlightRequest inFlight, Step.Forward step) {
         double nowMs = clock.now();
         AttemptGuard.Veto veto = guard.vetoAttempt(inFlight, step.backend(), nowMs);
-        boolean connected = isClientConnected(inFlight);
+        ClientState client = clientState(inFlight);
+        if (client == ClientState.UNKNOWN && inFlight.attemptsInFlight() == 0) {
+            refuseForUnknownClient(inFlight);
+        }
         InFlightRequest.Attempt attempt =
                 inFlight.new Attempt(veto == null ? endpoints.available(step.backend()) : null, nowMs);
         inFlight.attempts.add(attempt);
@@ -205,7 +210,7 @@
             counters.vetoed++;
             invariants.prevented(veto.invariant(), inFlight.request.id(), veto.cause());
         }
-        if (veto != null || !connected) {
+        if (veto != null || client != ClientState.CONNECTED) {
             reportOutcome(inFlight, attempt, step.backend(), AttemptResult.withoutReport(AttemptStatus.NOT_SENT));
         } else if (heartbeat.isLoopDelayed(nowMs) || !endpointSource.isCurrent()) {
             attempt.transportAttempt = new DeferredAttempt(vertx, this, inFlight, attempt, step);
@@ -230,23 +235,36 @@
         endpointSource.whenCurrent(action);
     }
 
-    /** Whether the client is still connected; ends the request of a client that has disconnected. */
-    private boolean isClientConnected(InFlightRequest inFlight) {
-        if (!inFlight.finished && !inFlight.clientDisconnected && !inFlight.isClientConnected()) {
+    /** Returns what is known of the client; ends the request of a client that has disconnected. */
+    private ClientState clientState(InFlightRequest inFlight) {
+        ClientState client = inFlight.finished ? ClientState.CONNECTED : inFlight.clientState();
+        if (client == ClientState.DISCONNECTED) {
             clientDisconnected(inFlight);
         }
-        return !inFlight.clientDisconnected;
+        return inFlight.clientDisconnected ? ClientState.DISCONNECTED : client;
+    }
+
+    /**
+     * Responds to a request for which no attempt may be made, as its client may have disconnected. Its response frees
+     * memory, in which the input behind it can be read.
+     */
+    private void refuseForUnknownClient(InFlightRequest inFlight) {
+        counters.refused(ShedReason.CLIENT_UNKNOWN);
+        execute(inFlight, new Step.Respond(responseWithoutAttempt(inFlight, "the client may have disconnected")));
+    }
+
+    /** Returns the response to a request that gets no further attempt: a refusal if it may be refused. */
+    private Response responseWithoutAttempt(InFlightRequest inFlight, String reason) {
+        return guard.mayRefuse(inFlight) ? new Response.Refused(0) : new Response.Failed(reason);
     }
 
     /**
      * Called when a connection for the attempt has been established. Returns whether the earlier decision still holds.
      */
     boolean isStillWanted(InFlightRequest inFlight, InFlightRequest.Attempt attempt) {
+        AttemptGuard.Veto clientVeto = vetoForClient(inFlight);
         return isAllowed(
-                inFlight,
-                isClientConnected(inFlight)
-                        ? guard.vetoAfterConnect(inFlight, attempt, clock.now())
-                        : CLIENT_DISCONNECTED);
+                inFlight, clientVeto == null ? guard.vetoAfterConnect(inFlight, attempt, clock.now()) : clientVeto);
     }
 
     /**
@@ -254,11 +272,19 @@
      * be written.
      */
     boolean maySend(InFlightRequest inFlight, InFlightRequest.Attempt attempt, double deadlineMs) {
+        AttemptGuard.Veto clientVeto = vetoForClient(inFlight);
         return isAllowed(
                 inFlight,
-                isClientConnected(inFlight)
-                        ? guard.vetoWrite(inFlight, attempt, deadlineMs, clock.now())
-                        : CLIENT_DISCONNECTED);
+                clientVeto == null ? guard.vetoWrite(inFlight, attempt, deadlineMs, clock.now()) : clientVeto);
+    }
+
+    /** Returns the reason why the state of the client forbids an attempt, or null if it allows it. */
+    private AttemptGuard.Veto vetoForClient(InFlightRequest inFlight) {
+        return switch (clientState(inFlight)) {
+            case CONNECTED -> null;
+            case DISCONNECTED -> CLIENT_DISCONNECTED;
+            case UNKNOWN -> CLIENT_UNKNOWN;
+        };
     }
 
     private boolean isAllowed(InFlightRequest inFlight, AttemptGuard.Veto veto) {
@@ -371,12 +397,7 @@
         if (inFlight.expedited) {
             cancelAttempts(
                     inFlight,
-                    () -> execute(
-                            inFlight,
-                            new Step.Respond(
-                                    guard.mayRefuse(inFlight)
-                                            ? new Response.Refused(0)
-                                            : new Response.Failed("the gateway ends"))));
+                    () -> execute(inFlight, new Step.Respond(responseWithoutAttempt(inFlight, "the gateway ends"))));
             return;
         }
         counters.deadlineExpired++;
--- a/gateway/src/main/java/opalcove/core/ResponseHandler.java
+++ b/gateway/src/main/java/opalcove/core/ResponseHandler.java
@@ -22,12 +22,12 @@
     }
 
     /**
-     * Whether the client is still connected. If that is not known without reading, the handler reads the connection
-     * now. Called right before an attempt is started, so that nothing is sent for a client that has disconnected.
+     * Returns what is known of the client now. If that is not known without reading, the handler reads the connection.
+     * Called right before an attempt is started, so that nothing is sent for a client that may have disconnected.
      * Reading may cause further requests to be accepted.
      */
-    default boolean isConnected() {
-        return true;
+    default ClientState clientState() {
+        return ClientState.CONNECTED;
     }
 
     /**
--- a/gateway/src/main/java/opalcove/metrics/ShedReason.java
+++ b/gateway/src/main/java/opalcove/metrics/ShedReason.java
@@ -11,7 +11,9 @@
     /** The deadline of the request had passed before the request was read. */
     UNREAD_IN_TIME("unread_in_time"),
     /** There was no memory for the body of the request before its deadline. */
-    NO_MEMORY("no_memory");
+    NO_MEMORY("no_memory"),
+    /** The client may have disconnected, and there was no memory to read the input behind which that would show. */
+    CLIENT_UNKNOWN("client_unknown");
 
     private final String metricName;
 
--- a/gateway/src/main/java/opalcove/resp/ConnectionInput.java
+++ b/gateway/src/main/java/opalcove/resp/ConnectionInput.java
@@ -3,6 +3,7 @@
 import io.netty.buffer.ByteBuf;
 import java.util.concurrent.TimeUnit;
 import java.util.function.BooleanSupplier;
+import opalcove.core.ClientState;
 
 /**
  * The input of one client connection. It decodes what is read, or buffers it while decoding is paused, and computes how
@@ -10,10 +11,15 @@
  */
 final class ConnectionInput {
     /**
-     * The maximum age of the last check that a client is connected when an attempt is made for it: a quarter of the
-     * 100 ms after which an attempt for a disconnected client violates an invariant.
+     * The age of the last check that a client is connected from which on it is checked again before an attempt: a
+     * quarter of the 100 ms after which an attempt for a disconnected client violates an invariant.
      */
     private static final long MAX_AGE_NANOS = TimeUnit.MILLISECONDS.toNanos(25);
+    /**
+     * The maximum age of what is known of a client for which an attempt is made: below those 100 ms, less the time from
+     * this check to the write.
+     */
+    private static final long MAX_ATTEMPT_AGE_NANOS = TimeUnit.MILLISECONDS.toNanos(75);
     /**
      * Input that may have been unread for longer than this is stale; a shorter time is within the slack on deadlines.
      */
@@ -124,6 +130,7 @@
         boolean hasReadAll = readCount < RawSocket.MAX_READS_PER_TURN && !isPaused && !isSuspended;
         if (hasReadAll) {
             isMoreUnread = false;
+            detector.pollCompleted(this);
         }
         readCount = 0;
     }
@@ -135,8 +142,7 @@
 
     /** Returns up to when this connection is known to be read to its end, unless bytes have been read since. */
     private long readToEndUpTo() {
-        long upTo = isReadEachTurn() ? detector.readUpToNanos() : emptyUpTo;
-        return polledToEndAt - upTo > 0 ? polledToEndAt : upTo;
+        return later(polledToEndAt, isReadEachTurn() ? detector.readUpToNanos() : emptyUpTo);
     }
 
     /** Returns since when bytes that are read now may have been unread. */
@@ -252,7 +258,7 @@
     void resumeSuspended() {
         if (isSuspended) {
             isSuspended = false;
-            if (isPaused || hasUndecoded() && !isConnected()) {
+            if (isPaused || hasUndecoded() && isDisconnected()) {
                 return;
             }
             decodeBuffered();
@@ -290,7 +296,7 @@
      * has disconnected meanwhile: they are dropped with the connection.
      */
     void resume() {
-        if (hasUndecoded() && !isConnected()) {
+        if (hasUndecoded() && isDisconnected()) {
             return;
         }
         isPaused = false;
@@ -301,6 +307,7 @@
         }
         // A buffered command may have paused decoding again.
         if (!isPaused) {
+            detector.pollCompleted(this);
             readAgain();
         }
     }
@@ -326,37 +333,62 @@
         isEnded = true;
         decoder.stop();
         detector.removePaused(this);
+        detector.pollCompleted(this);
         buffered.release();
         countUndecoded();
     }
 
     /**
-     * Whether the client is still connected. Polls the socket if the last check is too old: at most once per turn of
-     * the event loop, and once more for each {@link #MAX_AGE_NANOS} of a long turn. A connection that is not paused
-     * needs no poll while the loop reads its sockets that often. If more bytes are unread than may be buffered, the
-     * state is unknown and the client is assumed to be connected; that is counted.
+     * Returns what is known of the client of an attempt. If more bytes are unread than may be buffered, the state is
+     * unknown; that is counted.
      */
-    boolean isConnected() {
-        if (socket.isOpen() && !isKnown()) {
+    ClientState clientState() {
+        if (isDisconnected()) {
+            return ClientState.DISCONNECTED;
+        }
+        if (System.nanoTime() - connectedUpTo() < MAX_ATTEMPT_AGE_NANOS) {
+            return ClientState.CONNECTED;
+        }
+        detector.checkIncomplete();
+        return ClientState.UNKNOWN;
+    }
+
+    /**
+     * Whether the client is known to have disconnected. Polls the socket if the last check is too old: at most once per
+     * turn of the event loop, and once more for each {@link #MAX_AGE_NANOS} of a long turn. A connection that is not
+     * paused needs no poll while the loop reads its sockets that often.
+     */
+    private boolean isDisconnected() {
+        if (socket.isOpen() && !isChecked()) {
             poll();
-            if (socket.isOpen() && polledToEndAt != polledAt) {
-                detector.checkIncomplete();
-            }
         }
-        return socket.isOpen();
+        return !socket.isOpen();
     }
 
-    private boolean isKnown() {
-        long loopReadUpTo = detector.readUpToNanos();
-        if ((isPaused || isSuspended) && polledAt - loopReadUpTo < 0) {
+    /**
+     * Whether the last check is recent enough. A poll that did not reach the end for want of memory is continued once
+     * there is some, but not repeated at once before.
+     */
+    private boolean isChecked() {
+        if (polledToEndAt != polledAt && reserveBufferSpace()) {
+            return false;
+        }
+        boolean isPolledThisTurn = polledAt - detector.readUpToNanos() >= 0;
+        if ((isPaused || isSuspended) && !isPolledThisTurn) {
             return false;
         }
+        return System.nanoTime() - later(polledAt, connectedUpTo()) < MAX_AGE_NANOS;
+    }
+
+    /** Returns up to when the client is known to have been connected: nothing was unread then. */
+    private long connectedUpTo() {
         // If bytes were read in this turn of the loop, or not all of them, a disconnect may be unread behind them.
-        boolean endMayLieBehind = bytesReadAt - loopReadUpTo >= 0 || isMoreUnread;
-        long readToEnd = endMayLieBehind ? previousReadToEnd : readToEndUpTo();
-        // A poll that did not reach the end is not repeated at once, either.
-        long checked = polledAt - readToEnd >= 0 ? polledAt : readToEnd;
-        return System.nanoTime() - checked < MAX_AGE_NANOS;
+        boolean endMayLieBehind = bytesReadAt - detector.readUpToNanos() >= 0 || isMoreUnread;
+        return later(polledToEndAt, endMayLieBehind ? previousReadToEnd : readToEndUpTo());
+    }
+
+    private static long later(long firstNanos, long secondNanos) {
+        return firstNanos - secondNanos >= 0 ? firstNanos : secondNanos;
     }
 
     /**
@@ -367,7 +399,7 @@
         polledAt = System.nanoTime();
         long end = bytesReadCount + MAX_POLL_BYTES;
         long before = -1;
-        while (bytesReadCount != before && bytesReadCount < end && socket.isOpen() && hasBufferSpace()) {
+        while (bytesReadCount != before && bytesReadCount < end && socket.isOpen() && reserveBufferSpace()) {
             before = bytesReadCount;
             socket.readNow();
         }
@@ -375,10 +407,11 @@
             isMoreUnread = false;
             polledToEndAt = polledAt;
             emptyUpTo = polledAt;
+            detector.pollCompleted(this);
         }
     }
 
-    private boolean hasBufferSpace() {
-        return mayDecode() || detector.hasBufferSpace(undecodedBytes);
+    private boolean reserveBufferSpace() {
+        return mayDecode() || detector.reserveBufferSpace(this);
     }
 }
--- a/gateway/src/main/java/opalcove/resp/DisconnectDetector.java
+++ b/gateway/src/main/java/opalcove/resp/DisconnectDetector.java
@@ -28,12 +28,14 @@
     private final MemoryBudget memory;
     private final Runnable checkIncomplete;
     private int bufferedBytes;
+    /** The connection that alone may use the second half of the memory of polls; null if there is none. */
+    private ConnectionInput secondHalfOwner;
 
     /**
      * To be called on the event loop of the connections.
      *
-     * @param checkIncomplete is run each time it is not known whether the client of an attempt is still connected,
-     *     because more of its input is unread than may be buffered
+     * @param checkIncomplete is run each time an attempt is not made because more of its client's input is unread than
+     *     may be buffered
      */
     DisconnectDetector(Vertx vertx, MemoryBudget memory, Runnable checkIncomplete) {
         this.checkIncomplete = checkIncomplete;
@@ -82,13 +84,28 @@
     }
 
     /**
-     * Whether a poll may buffer more bytes of a connection that has this many already. A connection may have as many as
-     * are left to all others, so that one client cannot hide the disconnects of the others.
+     * Whether a poll of this connection may buffer more bytes. All connections share one half of the memory of polls. The
+     * other half is for one connection after the other: if each took a part of it, the end of none might be reached.
      */
-    boolean hasBufferSpace(int bytesOfConnection) {
-        return bytesOfConnection < memory.maxPolledBytes() - bufferedBytes;
+    boolean reserveBufferSpace(ConnectionInput input) {
+        long maxBytes = memory.maxPolledBytes();
+        if (bufferedBytes < maxBytes / 2) {
+            return true;
+        }
+        if (secondHalfOwner == null) {
+            secondHalfOwner = input;
+        }
+        return secondHalfOwner == input && bufferedBytes < maxBytes;
+    }
+
+    /** Called when the end of the input of a connection was reached, or polls of it do not buffer bytes any more. */
+    void pollCompleted(ConnectionInput input) {
+        if (secondHalfOwner == input) {
+            secondHalfOwner = null;
+        }
     }
 
+    /** Counts a check that did not reach the end of the input of a connection. */
     void checkIncomplete() {
         checkIncomplete.run();
     }
--- a/gateway/src/main/java/opalcove/resp/PipelineSlot.java
+++ b/gateway/src/main/java/opalcove/resp/PipelineSlot.java
@@ -1,6 +1,7 @@
 package opalcove.resp;
 
 import io.netty.buffer.ByteBuf;
+import opalcove.core.ClientState;
 import opalcove.core.RequestHandle;
 import opalcove.core.Response;
 import opalcove.core.ResponseHandler;
@@ -106,8 +107,8 @@
     }
 
     @Override
-    public boolean isConnected() {
-        return connection.input().isConnected();
+    public ClientState clientState() {
+        return connection.input().clientState();
     }
 
     /** Releases the buffers of a response that will not be written. */
--- a/gateway/src/test/java/opalcove/metrics/OutsideNamesTest.java
+++ b/gateway/src/test/java/opalcove/metrics/OutsideNamesTest.java
@@ -49,6 +49,7 @@
             refused.ending=0
             refused.unread_in_time=0
             refused.no_memory=0
+            refused.client_unknown=0
             failed=0
             connections_ended.idle=0
             connections_ended.drained=0
--- a/gateway/src/test/java/opalcove/resp/UnreadDisconnectTest.java
+++ b/gateway/src/test/java/opalcove/resp/UnreadDisconnectTest.java
@@ -29,6 +29,9 @@
     /** Longer than the result of the last read or poll of a connection stays valid, ms; a longer sleep does no harm. */
     private static final int POLL_AGE_MS = 60;
 
+    /** The memory of a gateway, bytes, of which polls for disconnects may hold a half. */
+    private static final int POLLED_TEST_MEMORY = 1024 * 1024;
+
     /** How a client disconnects. */
     private enum Disconnect {
         CLOSE,
@@ -189,21 +192,71 @@
         }
     }
 
+    /** How many clients there are, and how many bytes of each are unread behind a full pipeline. */
+    @DataProvider
+    public Object[][] inputThatPollsCannotHold() {
+        return new Object[][] {{1, 2 * POLLED_TEST_MEMORY}, {2, POLLED_TEST_MEMORY}, {6, 400_000}, {20, 100_000}};
+    }
+
     /** Guards against the limit on the memory of polls, behind which a disconnect is hidden. */
-    @Test
-    public void sendsNothingWhenClientDisconnectedBehindMoreInputThanPollsMayHold() throws Exception {
-        int maxBytes = 1024 * 1024;
-        try (RespTestBed testBed = RespTestBed.withMemory(maxBytes, LONG_DEADLINES)) {
+    @Test(dataProvider = "inputThatPollsCannotHold")
+    public void sendsNothingWhenClientDisconnectedBehindMoreInputThanPollsMayHold(int clients, int unreadBytes)
+            throws Exception {
+        try (RespTestBed testBed = RespTestBed.withMemory(POLLED_TEST_MEMORY, LONG_DEADLINES)) {
             RespTestBed.FakeBackend backend = testBed.startBackend("n1");
             testBed.setEndpoints(backend.withState(EndpointState.UP));
             testBed.holdConnections();
-            Socket client = testBed.connectClient();
-            RespTestBed.send(
-                    client, fullPipeline() + RespTestBed.PING.repeat(2 * maxBytes / RespTestBed.PING.length()));
-            List<Runnable> heldConnections = List.of(testBed.awaitHeldConnection(), testBed.awaitHeldConnection());
+            List<Socket> sockets = new ArrayList<>();
+            List<Runnable> heldConnections = new ArrayList<>();
+            for (int i = 1; i <= clients; i++) {
+                Socket client = testBed.connectClient();
+                sockets.add(client);
+                RespTestBed.send(client, RespTestBed.query(i, TIMEOUT_MS));
+                heldConnections.add(testBed.awaitHeldConnection());
+            }
+            for (Socket client : sockets) {
+                RespTestBed.send(client, pingsBehindRequest(unreadBytes));
+            }
             testBed.runWhileLoopBlocked(
-                    () -> disconnectAndWait(Disconnect.CLOSE, client), () -> heldConnections.forEach(Runnable::run));
+                    () -> {
+                        for (Socket client : sockets) {
+                            client.close();
+                        }
+                        Thread.sleep(2 * POLL_AGE_MS);
+                    },
+                    () -> heldConnections.forEach(Runnable::run));
             assertTrue(backend.receivedNothing(), "the request of a disconnected client was sent");
+            testBed.stopHoldingConnections();
+            assertNextRequestIsFirst(testBed, backend);
+        }
+    }
+
+    /** A client that stays gets refusals where its input does not fit into memory, and is served again once it does. */
+    @Test
+    public void refusesRequestsWhileInputDoesNotFitAndServesLaterOnesWhenClientStays() throws Exception {
+        int unreadBytes = 2 * POLLED_TEST_MEMORY;
+        try (RespTestBed testBed = RespTestBed.withMemory(POLLED_TEST_MEMORY, LONG_DEADLINES)) {
+            RespTestBed.FakeBackend backend = testBed.startBackend("n1");
+            testBed.setEndpoints(backend.withState(EndpointState.UP));
+            testBed.holdConnections();
+            Socket client = testBed.connectClient();
+            RespTestBed.send(client, RespTestBed.query(1, TIMEOUT_MS));
+            Runnable heldConnection = testBed.awaitHeldConnection();
+            RespTestBed.send(client, pingsBehindRequest(unreadBytes));
+            testBed.runWhileLoopBlocked(() -> Thread.sleep(2 * POLL_AGE_MS), heldConnection::run);
+            testBed.stopHoldingConnections();
+            assertEquals(RespTestBed.readReply(client), "-BUSY");
+            int pings = pingsBehindRequest(unreadBytes).length() / RespTestBed.PING.length();
+            for (int i = 0; i < pings; i++) {
+                assertEquals(RespTestBed.readReply(client), "+PONG");
+            }
+            assertEquals(testBed.counter("refused.client_unknown"), 1);
+            assertTrue(testBed.counter("client_checks_incomplete") > 0);
+            RespTestBed.send(client, RespTestBed.query(2, TIMEOUT_MS));
+            RespTestBed.BackendPeer connection = backend.nextConnectionWithCommand();
+            assertTrue(connection.readCommand().contains(RespTestBed.requestId(2)));
+            connection.sendValue("two");
+            assertEquals(RespTestBed.readReply(client), "two");
         }
     }
 
@@ -408,8 +461,14 @@
     private static void assertNothingSent(RespTestBed testBed, RespTestBed.FakeBackend backend, int requests)
             throws Exception {
         testBed.awaitCounter("terminals_left", requests);
-        testBed.awaitCounter("asks_open", 0);
         testBed.stopHoldingConnections();
+        assertNextRequestIsFirst(testBed, backend);
+    }
+
+    /** Checks that the open requests end and that the next client's request is the first at the backend. */
+    private static void assertNextRequestIsFirst(RespTestBed testBed, RespTestBed.FakeBackend backend)
+            throws Exception {
+        testBed.awaitCounter("asks_open", 0);
         Socket next = testBed.connectClient();
         RespTestBed.send(next, RespTestBed.query(99, TIMEOUT_MS));
         RespTestBed.BackendPeer connection = backend.nextConnectionWithCommand();
@@ -421,6 +480,11 @@
         assertTrue(backend.receivedNothing(), "the request of a disconnected client was sent");
     }
 
+    /** PINGs that fill the pipeline behind a request, and so many more that this many bytes stay unread. */
+    private static String pingsBehindRequest(int unreadBytes) {
+        return RespTestBed.PING.repeat(MAX_PIPELINED - 1 + unreadBytes / RespTestBed.PING.length());
+    }
+
     /** Two requests with PINGs between them, so many commands that the connection is not read after them. */
     private static String fullPipeline() {
         return RespTestBed.query(1, TIMEOUT_MS)
