A closed connection stays half open until its client has read its response

Cause: a response counts as over once the kernel has it; the connection is then idle after 2 s, its output is closed, and 250 ms later the socket itself. Input that arrives after that makes the kernel reset the connection and drop the rest. Change: HalfOpenConnections waits for the client's close, 10 s at most; what arrives until then is read and dropped, 256 KiB at most. 250 ms stay where the input is not read and while the process ends.

--- a/gateway/src/main/java/opalcove/resp/ClientConnection.java
+++ b/gateway/src/main/java/opalcove/resp/ClientConnection.java
@@ -27,6 +27,9 @@
      */
     private static final int MAX_ERROR_PAUSES = 4;
 
+    /** The input that is read after the output was closed. Guards the processor against a client that goes on sending. */
+    private static final long MAX_DISCARDED_BYTES = 256 * 1024;
+
     private static final long STALL_NANOS = TimeUnit.MILLISECONDS.toNanos(OpenConnections.IDLE_TIMEOUT_MS);
 
     private final ServerContext server;
@@ -52,7 +55,10 @@
     /** The reason to report when a closing connection is closed, once no response is due. */
     private ConnectionCloseReason closeReason = ConnectionCloseReason.PROTOCOL;
 
+    private boolean isHalfOpen;
     private long halfOpenSinceNanos;
+    /** The bytes that arrived after the output was closed. */
+    private long discardedBytes;
 
     /** To be called in the connect handler of the socket, on its context. */
     ClientConnection(NetSocket netSocket, ServerContext server) {
@@ -133,6 +139,10 @@
 
     @Override
     public void bytesRead(ByteBuf bytes) {
+        if (isHalfOpen) {
+            discard(bytes);
+            return;
+        }
         lastReadNanos = System.nanoTime();
         try {
             input.bytesRead(bytes);
@@ -141,6 +151,15 @@
         }
     }
 
+    /** Drops what arrives after the output was closed: the client sends it again on another connection. */
+    private void discard(ByteBuf bytes) {
+        discardedBytes += bytes.readableBytes();
+        bytes.release();
+        if (discardedBytes > MAX_DISCARDED_BYTES) {
+            closeAndDiscard();
+        }
+    }
+
     @Override
     public void readsCompleted() {
         input.readsCompleted();
@@ -417,6 +436,7 @@
         server.dispatcher().clientConnectionClosed(reason);
         stopReading();
         server.halfOpen().add(this);
+        isHalfOpen = true;
         halfOpenSinceNanos = System.nanoTime();
         socket.closeOutput();
     }
--- a/gateway/src/main/java/opalcove/resp/HalfOpenConnections.java
+++ b/gateway/src/main/java/opalcove/resp/HalfOpenConnections.java
@@ -11,19 +11,27 @@
  */
 final class HalfOpenConnections {
     /**
-     * How long a connection stays half open, so that its client can read the responses and close it. Guards the last
-     * response: a socket that is closed with unread input is reset, and bytes in flight to the client are lost.
+     * How long a connection stays half open, so that its client can read the responses and close it. Guards responses
+     * that a slow client still reads from the kernel: input that arrives after a close resets the connection, and the
+     * rest of them is lost.
      */
-    private static final long TIMEOUT_MS = 250;
+    private static final long TIMEOUT_MS = 10_000;
+    /**
+     * The same for a connection whose input is not read, so that its client's close would not be seen, and while the
+     * process ends.
+     */
+    private static final long SHORT_TIMEOUT_MS = 250;
     /** The number of open connections per allowed half-open one. Limits the descriptors of half-open connections. */
     static final int OPEN_PER_HALF_OPEN = 8;
 
     private final Set<ClientConnection> connections = new LinkedHashSet<>();
     private final int maxConnections;
+    private final DrainState drain;
 
     /** Creates a set whose limit is derived from the maximum number of open connections. */
-    HalfOpenConnections(int maxOpenConnections) {
+    HalfOpenConnections(int maxOpenConnections, DrainState drain) {
         maxConnections = maxFor(maxOpenConnections);
+        this.drain = drain;
     }
 
     /** Returns how many connections may be half open in addition to this number of open ones. */
@@ -54,7 +62,9 @@
     /** Closes the connections that have been half open for too long. */
     void closeExpired() {
         for (ClientConnection each : List.copyOf(connections)) {
-            if (System.nanoTime() - each.halfOpenSinceNanos() > TimeUnit.MILLISECONDS.toNanos(TIMEOUT_MS)) {
+            boolean isShort = drain.isProcessEnding() || each.input().isPaused();
+            long timeoutMs = isShort ? SHORT_TIMEOUT_MS : TIMEOUT_MS;
+            if (System.nanoTime() - each.halfOpenSinceNanos() > TimeUnit.MILLISECONDS.toNanos(timeoutMs)) {
                 each.close();
             }
         }
--- a/gateway/src/main/java/opalcove/resp/RespServer.java
+++ b/gateway/src/main/java/opalcove/resp/RespServer.java
@@ -59,7 +59,7 @@
         this.dispatcher = dispatcher;
         drain = new DrainState(lifecycle);
         open = new OpenConnections(maxConnections, drain, dispatcher);
-        halfOpen = new HalfOpenConnections(maxConnections);
+        halfOpen = new HalfOpenConnections(maxConnections, drain);
         context = new ServerContext(
                 vertx,
                 dispatcher,
