A test of held-back values sends its second request once the first has arrived

Cause: two requests were sent at once and go to the backend on two connections; the backend of the test polls the connections, so either may be found first. HeldBackValueTest.passesOnValuesThatTogetherExceedMemory was red once for that ("expected [true] but found [false]" at the id of the first request). Change: the second request is sent when the first has arrived; it still waits behind the first response.

--- a/gateway/src/test/java/opalcove/resp/HeldBackValueTest.java
+++ b/gateway/src/test/java/opalcove/resp/HeldBackValueTest.java
@@ -146,9 +146,11 @@
                 throws Exception {
             this.length = length;
             client = testBed.connectClient();
-            RespTestBed.send(client, request(firstRequest, timeoutMs) + request(firstRequest + 1, TIMEOUT_MS));
+            RespTestBed.send(client, request(firstRequest, timeoutMs));
             first = backend.nextConnectionWithCommand();
             assertTrue(first.readCommand().contains(RespTestBed.requestId(firstRequest)));
+            // Sent only now: two requests at once may arrive in either order, as each has a connection of its own.
+            RespTestBed.send(client, request(firstRequest + 1, TIMEOUT_MS));
             second = backend.nextConnectionWithCommand();
             second.readCommand();
         }
