A backend connection with a part of a second reply is not reused

Cause: only a complete stray reply closed the connection. A part of one stayed in the decoder of a connection that settled and was reused, and its rest was taken for the reply to the next request. Change: after each read that leaves a reply incomplete the connection tells its listener, which closes it if no attempt awaits a reply.

--- a/gateway/src/main/java/opalcove/backend/BackendConnection.java
+++ b/gateway/src/main/java/opalcove/backend/BackendConnection.java
@@ -49,6 +49,12 @@
          */
         void onReply(AttemptResult result);
 
+        /**
+         * Called after each read that leaves a part of a reply to be completed. If no attempt awaits a reply, the
+         * listener closes the connection.
+         */
+        default void onPartialReply() {}
+
         /**
          * Called right before the bytes of an attempt are written, at the end of the turn that sent it, by connections
          * that wait for the end of the turn. Returns whether they may still be written; if not, the connection is
--- a/gateway/src/main/java/opalcove/backend/PooledConnection.java
+++ b/gateway/src/main/java/opalcove/backend/PooledConnection.java
@@ -80,9 +80,7 @@
     public void onReply(AttemptResult result) {
         PooledCall completed = call;
         if (completed == null) {
-            // A reply that belongs to no attempt would otherwise be taken for the reply to the next attempt.
-            pool.reusePolicy().strayReplyReceived();
-            connection.close();
+            closeForStrayReply();
             return;
         }
         call = null;
@@ -91,6 +89,22 @@
         completed.finish(result);
     }
 
+    @Override
+    public void onPartialReply() {
+        if (call == null) {
+            closeForStrayReply();
+        }
+    }
+
+    /**
+     * Closes a connection on which a reply, or a part of one, belongs to no attempt. Guards the next attempt: the stray
+     * reply would be taken for the reply to it.
+     */
+    private void closeForStrayReply() {
+        pool.reusePolicy().strayReplyReceived();
+        connection.close();
+    }
+
     /**
      * Stops an attempt whose client disconnected in the same turn that sent it, or that was delayed before its bytes
      * were written.
--- a/gateway/src/main/java/opalcove/resp/RespBackendConnection.java
+++ b/gateway/src/main/java/opalcove/resp/RespBackendConnection.java
@@ -75,7 +75,14 @@
         } catch (OutOfMemoryError e) {
             allocationFailed(e);
         }
+        inputDecoded();
+    }
+
+    private void inputDecoded() {
         restartStallTimer();
+        if (decoder.isMidValue()) {
+            listener.onPartialReply();
+        }
     }
 
     private void connectionFailed(Throwable failure) {
@@ -112,7 +119,7 @@
         } catch (OutOfMemoryError e) {
             allocationFailed(e);
         }
-        restartStallTimer();
+        inputDecoded();
     }
 
     @Override
