A test of held-back values takes its two requests in either order

All requests are open before any value is sent, so that no connection can be reused. What is checked is the same.

--- a/gateway/src/test/java/opalcove/resp/HeldBackValueTest.java
+++ b/gateway/src/test/java/opalcove/resp/HeldBackValueTest.java
@@ -57,10 +57,11 @@
             List<CompletableFuture<Void>> sending = new ArrayList<>();
             RespTestBed.FakeBackend backend = startBackend(testBed);
             for (int i = 0; i < 4; i++) {
-                SlowValue value = new SlowValue(testBed, backend, 1 + 2 * i, 3 * MB, TIMEOUT_MS);
-                values.add(value);
-                sending.add(value.sendInPieces(100_000, 20));
-                value.second.sendValue("second");
+                values.add(new SlowValue(testBed, backend, 1 + 2 * i, 3 * MB, TIMEOUT_MS));
+            }
+            for (SlowValue each : values) {
+                sending.add(each.sendInPieces(100_000, 20));
+                each.second.sendValue("second");
             }
             for (SlowValue each : values) {
                 each.assertPassedOnWhileSent();
@@ -146,13 +147,15 @@
                 throws Exception {
             this.length = length;
             client = testBed.connectClient();
-            RespTestBed.send(client, request(firstRequest, timeoutMs));
-            first = backend.nextConnectionWithCommand();
-            assertTrue(first.readCommand().contains(RespTestBed.requestId(firstRequest)));
-            // Sent only now: two requests at once may arrive in either order, as each has a connection of its own.
-            RespTestBed.send(client, request(firstRequest + 1, TIMEOUT_MS));
-            second = backend.nextConnectionWithCommand();
-            second.readCommand();
+            RespTestBed.send(client, request(firstRequest, timeoutMs) + request(firstRequest + 1, TIMEOUT_MS));
+            // Each is sent on a connection of its own, so they may arrive in either order.
+            RespTestBed.BackendPeer one = backend.nextConnectionWithCommand();
+            RespTestBed.BackendPeer other = backend.nextConnectionWithCommand();
+            boolean isOneFirst = one.readCommand().contains(RespTestBed.requestId(firstRequest));
+            boolean isOtherFirst = other.readCommand().contains(RespTestBed.requestId(firstRequest));
+            assertTrue(isOneFirst != isOtherFirst);
+            first = isOneFirst ? one : other;
+            second = isOneFirst ? other : one;
         }
 
         private static String request(int number, int timeoutMs) {
