Unread input of one client does not take the memory of polls that others need

Cause: found by reading: the preferred connection could fill all memory of polls, so that the state of usual clients with a few unread bytes was unknown, too, and their requests were refused. A poll that ended at its limit of 8 MiB, not for want of memory, was repeated for each attempt of a turn. A connection that is not read for a long value stayed half open for 10 s, as its close is not seen. Change: a connection may hold as much as is left for the others again, and one after the other seven eighths in all; only a poll short of memory is continued; what is not read is half open for 250 ms. After: green; UnreadDisconnectTest 39 of 39 before that test was added, DisconnectedClientTest, HalfOpenConnectionTest, StrayReplyTest, FullServerTest, StalledClientTest green.

--- a/gateway/src/main/java/opalcove/resp/ConnectionInput.java
+++ b/gateway/src/main/java/opalcove/resp/ConnectionInput.java
@@ -48,6 +48,8 @@
 
     private long bytesReadCount;
     private long polledAt = System.nanoTime();
+    /** Whether the last poll ended before the end of the input for want of memory. */
+    private boolean isPollShortOfMemory;
     /** When the last poll that reached the end of the input began. */
     private long polledToEndAt = polledAt;
     /** When bytes were last read. */
@@ -282,6 +284,11 @@
         }
     }
 
+    /** Whether nothing is read, except by polls. */
+    boolean isReadingStopped() {
+        return isPaused || isSuspended;
+    }
+
     /** Pauses decoding; meanwhile the connection is polled for a disconnect. */
     void pause() {
         if (!isPaused) {
@@ -370,7 +377,7 @@
      * there is some, but not repeated at once before.
      */
     private boolean isChecked() {
-        if (polledToEndAt != polledAt && reserveBufferSpace()) {
+        if (isPollShortOfMemory && reserveBufferSpace()) {
             return false;
         }
         boolean isPolledThisTurn = polledAt - detector.readUpToNanos() >= 0;
@@ -403,6 +410,7 @@
             before = bytesReadCount;
             socket.readNow();
         }
+        isPollShortOfMemory = bytesReadCount != before && bytesReadCount < end;
         if (bytesReadCount == before) {
             isMoreUnread = false;
             polledToEndAt = polledAt;
@@ -412,6 +420,6 @@
     }
 
     private boolean reserveBufferSpace() {
-        return mayDecode() || detector.reserveBufferSpace(this);
+        return mayDecode() || detector.reserveBufferSpace(this, undecodedBytes);
     }
 }
--- a/gateway/src/main/java/opalcove/resp/DisconnectDetector.java
+++ b/gateway/src/main/java/opalcove/resp/DisconnectDetector.java
@@ -20,6 +20,9 @@
      */
     private static final long POLL_MS = 100;
 
+    /** The preferred connection leaves one part in this many of the memory of polls to the others. */
+    private static final int OTHERS_SHARE_DIVISOR = 8;
+
     private final Vertx vertx;
     private final LongSupplier readUpTo;
     private final LongSupplier unreadSince;
@@ -28,8 +31,8 @@
     private final MemoryBudget memory;
     private final Runnable checkIncomplete;
     private int bufferedBytes;
-    /** The connection that alone may use the second half of the memory of polls; null if there is none. */
-    private ConnectionInput secondHalfOwner;
+    /** The connection that may use more of the memory of polls than the others; null if there is none. */
+    private ConnectionInput preferredInput;
 
     /**
      * To be called on the event loop of the connections.
@@ -84,24 +87,25 @@
     }
 
     /**
-     * Whether a poll of this connection may buffer more bytes. All connections share one half of the memory of polls. The
-     * other half is for one connection after the other: if each took a part of it, the end of none might be reached.
+     * Whether a poll may buffer more bytes of a connection that has this many already. A connection may have as many as
+     * are left to all others, so that one client cannot hide the disconnects of the others. One connection after the
+     * other may have nearly all that is left: if each took only a part of it, the end of none might be reached.
      */
-    boolean reserveBufferSpace(ConnectionInput input) {
-        long maxBytes = memory.maxPolledBytes();
-        if (bufferedBytes < maxBytes / 2) {
+    boolean reserveBufferSpace(ConnectionInput input, int bytesOfConnection) {
+        long leftBytes = memory.maxPolledBytes() - bufferedBytes;
+        if (bytesOfConnection < leftBytes) {
             return true;
         }
-        if (secondHalfOwner == null) {
-            secondHalfOwner = input;
+        if (preferredInput == null) {
+            preferredInput = input;
         }
-        return secondHalfOwner == input && bufferedBytes < maxBytes;
+        return preferredInput == input && leftBytes > memory.maxPolledBytes() / OTHERS_SHARE_DIVISOR;
     }
 
     /** Called when the end of the input of a connection was reached, or polls of it do not buffer bytes any more. */
     void pollCompleted(ConnectionInput input) {
-        if (secondHalfOwner == input) {
-            secondHalfOwner = null;
+        if (preferredInput == input) {
+            preferredInput = null;
         }
     }
 
--- a/gateway/src/main/java/opalcove/resp/HalfOpenConnections.java
+++ b/gateway/src/main/java/opalcove/resp/HalfOpenConnections.java
@@ -62,7 +62,7 @@
     /** Closes the connections that have been half open for too long. */
     void closeExpired() {
         for (ClientConnection each : List.copyOf(connections)) {
-            boolean isShort = drain.isProcessEnding() || each.input().isPaused();
+            boolean isShort = drain.isProcessEnding() || each.input().isReadingStopped();
             long timeoutMs = isShort ? SHORT_TIMEOUT_MS : TIMEOUT_MS;
             if (System.nanoTime() - each.halfOpenSinceNanos() > TimeUnit.MILLISECONDS.toNanos(timeoutMs)) {
                 each.close();
--- a/gateway/src/test/java/opalcove/resp/UnreadDisconnectTest.java
+++ b/gateway/src/test/java/opalcove/resp/UnreadDisconnectTest.java
@@ -231,6 +231,34 @@
         }
     }
 
+    /** Guards the requests of a usual client against the unread input of another one, which takes the memory of polls. */
+    @Test
+    public void servesUsualClientWhileInputOfAnotherClientDoesNotFit() throws Exception {
+        try (RespTestBed testBed = RespTestBed.withMemory(POLLED_TEST_MEMORY, LONG_DEADLINES)) {
+            RespTestBed.FakeBackend backend = testBed.startBackend("n1");
+            testBed.setEndpoints(backend.withState(EndpointState.UP));
+            testBed.holdConnections();
+            Socket flooding = testBed.connectClient();
+            RespTestBed.send(flooding, RespTestBed.query(1, TIMEOUT_MS));
+            Runnable floodingConnection = testBed.awaitHeldConnection();
+            Socket usual = testBed.connectClient();
+            RespTestBed.send(usual, RespTestBed.query(2, TIMEOUT_MS));
+            Runnable usualConnection = testBed.awaitHeldConnection();
+            RespTestBed.send(flooding, pingsBehindRequest(2 * POLLED_TEST_MEMORY));
+            RespTestBed.send(usual, pingsBehindRequest(1_000));
+            testBed.runWhileLoopBlocked(() -> Thread.sleep(2 * POLL_AGE_MS), () -> {
+                floodingConnection.run();
+                usualConnection.run();
+            });
+            RespTestBed.BackendPeer connection = backend.nextConnectionWithCommand();
+            assertTrue(connection.readCommand().contains(RespTestBed.requestId(2)));
+            connection.sendValue("two");
+            assertEquals(RespTestBed.readReply(usual), "two");
+            assertEquals(RespTestBed.readReply(flooding), "-BUSY");
+            assertEquals(testBed.counter("refused.client_unknown"), 1);
+        }
+    }
+
     /** A client that stays gets refusals where its input does not fit into memory, and is served again once it does. */
     @Test
     public void refusesRequestsWhileInputDoesNotFitAndServesLaterOnesWhenClientStays() throws Exception {
