--- a/gateway/src/main/java/opalcove/lifecycle/Application.java
+++ b/gateway/src/main/java/opalcove/lifecycle/Application.java
@@ -25,12 +25,11 @@
  * at SIGTERM. It is created on the thread that starts the program, and its work runs on the event loop.
  */
 public final class Application {
-    /** The system property for the folder of Vert.x's file cache. */
     /**
      * Lets Netty use a constructor of the JDK, which the manifests of the programs open to it ({@code Add-Opens}).
      */
     private static final String REFLECTION_PROPERTY = "io.netty.tryReflectionSetAccessible";
-
+    /** The system property for the folder of Vert.x's file cache. */
     private static final String FILE_CACHE_PROPERTY = "vertx.cacheDirBase";
     /**
      * How long a load balancer may still send new connections after it was notified that this gateway leaves.
--- a/gateway/src/main/java/opalcove/resp/ConnectionInput.java
+++ b/gateway/src/main/java/opalcove/resp/ConnectionInput.java
@@ -117,19 +117,19 @@
 
     /** Whether bytes may be decoded now; else they are buffered. */
     private boolean mayDecode() {
-        boolean isHeld = (isPaused || isSuspended) && !decodesAll && !isEnded;
+        boolean isHeld = isReadingStopped() && !decodesAll && !isEnded;
         return !isDecoding && !decoder.isWaiting() && !isHeld;
     }
 
     private void countUndecoded() {
         int undecodedNow = buffered.capacity() + decoder.undecodedBytes();
-        detector.addBuffered(undecodedNow - undecodedBytes);
+        detector.addUndecoded(undecodedNow - undecodedBytes);
         undecodedBytes = undecodedNow;
     }
 
     /** Called when the event loop has read the socket as far as it does in one turn. */
     void readsCompleted() {
-        boolean hasReadAll = readCount < RawSocket.MAX_READS_PER_TURN && !isPaused && !isSuspended;
+        boolean hasReadAll = readCount < RawSocket.MAX_READS_PER_TURN && !isReadingStopped();
         if (hasReadAll) {
             isMoreUnread = false;
             detector.pollCompleted(this);
@@ -139,7 +139,7 @@
 
     /** Whether the event loop has polled this connection since it was resumed. */
     private boolean isReadEachTurn() {
-        return !isPaused && !isSuspended && detector.readUpToNanos() - resumedAt >= 0;
+        return !isReadingStopped() && detector.readUpToNanos() - resumedAt >= 0;
     }
 
     /** Returns up to when this connection is known to be read to its end, unless bytes have been read since. */
@@ -164,7 +164,7 @@
      * new.
      */
     private void readToEndIfStale(long since) {
-        if (!isReadingStaleInput && !isPaused && !isSuspended && System.nanoTime() - since > STALE_NANOS) {
+        if (!isReadingStaleInput && !isReadingStopped() && System.nanoTime() - since > STALE_NANOS) {
             isReadingStaleInput = true;
             staleSince = since;
             detector.vertx().runOnContext(turnEnds -> {
@@ -271,7 +271,7 @@
     }
 
     private void stopReading() {
-        if (!isPaused && !isSuspended) {
+        if (!isReadingStopped()) {
             emptyUpTo = isMoreUnread ? lastReadSince : detector.readUpToNanos();
             socket.setAutoRead(false);
         }
@@ -381,7 +381,7 @@
             return false;
         }
         boolean isPolledThisTurn = polledAt - detector.readUpToNanos() >= 0;
-        if ((isPaused || isSuspended) && !isPolledThisTurn) {
+        if (isReadingStopped() && !isPolledThisTurn) {
             return false;
         }
         return System.nanoTime() - later(polledAt, connectedUpTo()) < MAX_AGE_NANOS;
--- a/gateway/src/main/java/opalcove/resp/DisconnectDetector.java
+++ b/gateway/src/main/java/opalcove/resp/DisconnectDetector.java
@@ -30,7 +30,6 @@
     private boolean isPollScheduled;
     private final MemoryBudget memory;
     private final Runnable checkIncomplete;
-    private int bufferedBytes;
     /** The connection that may use more of the memory of polls than the others; null if there is none. */
     private ConnectionInput preferredInput;
 
@@ -92,7 +91,7 @@
      * other may have nearly all that is left: if each took only a part of it, the end of none might be reached.
      */
     boolean reserveBufferSpace(ConnectionInput input, int bytesOfConnection) {
-        long availableBytes = memory.maxPolledBytes() - bufferedBytes;
+        long availableBytes = memory.maxPolledBytes() - memory.undecodedBytes();
         if (bytesOfConnection < availableBytes) {
             return true;
         }
@@ -114,9 +113,8 @@
         checkIncomplete.run();
     }
 
-    /** Counts buffered bytes; a negative number counts bytes that are buffered no longer. */
-    void addBuffered(int bytes) {
-        bufferedBytes += bytes;
+    /** Counts bytes that wait to be decoded; a negative number counts bytes that have been. */
+    void addUndecoded(int bytes) {
         memory.addUndecoded(bytes);
     }
 
--- a/gateway/src/main/java/opalcove/resp/MemoryBudget.java
+++ b/gateway/src/main/java/opalcove/resp/MemoryBudget.java
@@ -210,6 +210,10 @@
         undecodedBytes += bytes;
     }
 
+    long undecodedBytes() {
+        return undecodedBytes;
+    }
+
     long usedBytes() {
         return usedBytes;
     }
--- a/gateway/src/test/java/opalcove/resp/CommandSchedulerTest.java
+++ b/gateway/src/test/java/opalcove/resp/CommandSchedulerTest.java
@@ -7,7 +7,6 @@
 import io.vertx.core.Vertx;
 import java.util.List;
 import java.util.concurrent.BlockingQueue;
-import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.LinkedBlockingQueue;
 import java.util.concurrent.TimeUnit;
 import opalcove.lifecycle.Application;
@@ -33,19 +32,6 @@
         vertx.close();
     }
 
-    private void onLoop(Runnable work) throws Exception {
-        CompletableFuture<Void> done = new CompletableFuture<>();
-        vertx.runOnContext(run -> {
-            try {
-                work.run();
-                done.complete(null);
-            } catch (Throwable e) {
-                done.completeExceptionally(e);
-            }
-        });
-        done.get(TIMEOUT_S, TimeUnit.SECONDS);
-    }
-
     private void awaitEvents(String... expected) throws Exception {
         for (String each : expected) {
             assertEquals(events.poll(TIMEOUT_S, TimeUnit.SECONDS), each);
@@ -55,7 +41,7 @@
     /** Guards other clients against one that sends commands at full speed. */
     @Test
     public void continuesBusyConnectionAfterOtherTasksOfTurn() throws Exception {
-        onLoop(() -> {
+        RespTestBed.onLoop(vertx, () -> {
             CommandScheduler scheduler = new CommandScheduler(vertx);
             CommandScheduler.Share busy = new CommandScheduler.Share();
             for (int i = 1; i < CommandScheduler.MAX_CONNECTION_COMMANDS; i++) {
@@ -80,7 +66,7 @@
     /** Guards each connection against those that came before it and are busy without end. */
     @Test
     public void continuesConnectionsInOrderAndOnceEach() throws Exception {
-        onLoop(() -> {
+        RespTestBed.onLoop(vertx, () -> {
             CommandScheduler scheduler = new CommandScheduler(vertx);
             for (String name : List.of("a", "b", "c")) {
                 CommandScheduler.Share share = new CommandScheduler.Share();
@@ -89,7 +75,7 @@
             }
         });
         awaitEvents("a", "b", "c");
-        onLoop(() -> {});
+        RespTestBed.onLoop(vertx, () -> {});
         assertTrue(events.isEmpty(), events.toString());
     }
 
--- a/gateway/src/test/java/opalcove/resp/RespDecoderTest.java
+++ b/gateway/src/test/java/opalcove/resp/RespDecoderTest.java
@@ -65,6 +65,23 @@
         }
     }
 
+    /** Stops behind some of the values, in a random order. */
+    private static final class PausingListener extends DescribingListener {
+        private final Random random;
+
+        PausingListener(long seed) {
+            random = new Random(seed);
+        }
+
+        @Override
+        public void valueDecoded(RespDecoder value) {
+            super.valueDecoded(value);
+            if (random.nextBoolean()) {
+                value.pause();
+            }
+        }
+    }
+
     private static ByteBuf buffer(String text) {
         return PooledByteBufAllocator.DEFAULT
                 .directBuffer(Math.max(1, text.length()))
@@ -102,24 +119,6 @@
         assertEquals(decodeAll(List.of(stream)), listener.decoded);
     }
 
-    /** The values behind a dropped string are decoded, wherever the input is split. */
-    /** Stops behind some of the values, in a random order. */
-    private static final class PausingListener extends DescribingListener {
-        private final Random random;
-
-        PausingListener(long seed) {
-            random = new Random(seed);
-        }
-
-        @Override
-        public void valueDecoded(RespDecoder value) {
-            super.valueDecoded(value);
-            if (random.nextBoolean()) {
-                value.pause();
-            }
-        }
-    }
-
     /** Guards commands behind a pause against being lost, repeated or decoded before it ends. */
     @Property(tries = 300, seed = "11")
     void decodesSameValuesWhenDecodingPausesBehindValues(
@@ -144,6 +143,7 @@
         assertEquals(0, decoder.undecodedBytes());
     }
 
+    /** The values behind a dropped string are decoded, wherever the input is split. */
     @Property(tries = 200, seed = "10")
     void decodesValuesBehindSkippedString(@ForAll("partLengths") List<Integer> partLengths) {
         String body = "b".repeat(5000);
--- a/gateway/src/test/java/opalcove/resp/RespTestBed.java
+++ b/gateway/src/test/java/opalcove/resp/RespTestBed.java
@@ -169,6 +169,15 @@
     // The event loop.
 
     <T> T onLoop(Supplier<T> work) throws Exception {
+        return onLoop(vertx, work);
+    }
+
+    void onLoop(Runnable work) throws Exception {
+        onLoop(vertx, work);
+    }
+
+    /** Runs the work on an event loop and returns its result. */
+    static <T> T onLoop(Vertx vertx, Supplier<T> work) throws Exception {
         CompletableFuture<T> done = new CompletableFuture<>();
         vertx.runOnContext(run -> {
             try {
@@ -180,8 +189,9 @@
         return done.get(TIMEOUT_S, TimeUnit.SECONDS);
     }
 
-    void onLoop(Runnable work) throws Exception {
-        onLoop(() -> {
+    /** Runs the work on an event loop, to its end. */
+    static void onLoop(Vertx vertx, Runnable work) throws Exception {
+        onLoop(vertx, () -> {
             work.run();
             return null;
         });
@@ -415,7 +425,8 @@
         return value;
     }
 
-    private static String readLine(InputStream in) throws Exception {
+    /** Reads a line, without its end. */
+    static String readLine(InputStream in) throws Exception {
         StringBuilder line = new StringBuilder();
         for (int each = in.read(); each != '\n'; each = in.read()) {
             if (each < 0) {
--- a/gateway/src/test/java/opalcove/resp/StreamedValueFramingTest.java
+++ b/gateway/src/test/java/opalcove/resp/StreamedValueFramingTest.java
@@ -105,26 +105,18 @@
             String query = RespTestBed.query(length, 4000).replace("00000000000000b2", customer);
             RespTestBed.send(client, check + query);
             if (!check.isEmpty()) {
-                assertEquals(readLine(), "+PONG", name + ", after a value of " + (length - step) + " bytes");
+                assertEquals(
+                        RespTestBed.readLine(fromGateway),
+                        "+PONG",
+                        name + ", after a value of " + (length - step) + " bytes");
             }
-            assertEquals(readLine(), "$" + length, name);
+            assertEquals(RespTestBed.readLine(fromGateway), "$" + length, name);
             fromGateway.skipNBytes(length);
-            assertEquals(readLine(), "", name);
+            assertEquals(RespTestBed.readLine(fromGateway), "", name);
             check = RespTestBed.PING;
         }
     }
 
-    private String readLine() throws Exception {
-        StringBuilder line = new StringBuilder();
-        for (int each = fromGateway.read(); each != '\n'; each = fromGateway.read()) {
-            if (each < 0) {
-                throw new java.io.EOFException("the connection ended after " + line);
-            }
-            line.append((char) each);
-        }
-        return line.toString().strip();
-    }
-
     /** Serves each attempt with a value of the chosen length, cut into parts of the chosen sizes. */
     private final class PartedValues extends NoOpBackendTransport {
         private volatile int length;
--- a/gateway/src/test/java/opalcove/resp/UnreadDisconnectTest.java
+++ b/gateway/src/test/java/opalcove/resp/UnreadDisconnectTest.java
@@ -181,9 +181,7 @@
             }
             testBed.runWhileLoopBlocked(
                     () -> {
-                        for (Socket client : sockets) {
-                            client.close();
-                        }
+                        disconnectAll(Disconnect.CLOSE, sockets);
                         Thread.sleep(POLL_AGE_MS);
                     },
                     () -> heldConnections.forEach(Runnable::run));
@@ -219,9 +217,7 @@
             }
             testBed.runWhileLoopBlocked(
                     () -> {
-                        for (Socket client : sockets) {
-                            client.close();
-                        }
+                        disconnectAll(Disconnect.CLOSE, sockets);
                         Thread.sleep(2 * POLL_AGE_MS);
                     },
                     () -> heldConnections.forEach(Runnable::run));
@@ -391,9 +387,7 @@
             }
             testBed.runWhileLoopBlocked(
                     () -> {
-                        for (Socket client : sockets) {
-                            disconnect.apply(client);
-                        }
+                        disconnectAll(disconnect, sockets);
                         Thread.sleep(POLL_AGE_MS);
                     },
                     () -> heldConnections.forEach(Runnable::run));
@@ -479,6 +473,12 @@
         }
     }
 
+    private static void disconnectAll(Disconnect disconnect, List<Socket> clients) throws IOException {
+        for (Socket client : clients) {
+            disconnect.apply(client);
+        }
+    }
+
     private static void disconnectAndWait(Disconnect disconnect, Socket client)
             throws IOException, InterruptedException {
         disconnect.apply(client);
